--- a/cmd/bergamotspring/main.go
+++ b/cmd/bergamotspring/main.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"bergamotspring/io/demo"
+	"bergamotspring/io/edge"
 	"bergamotspring/io/node"
 	"bergamotspring/io/operator/command"
 )
@@ -17,7 +18,7 @@
 func main() {
 	a := &command.App{
 		Out: os.Stdout, Err: os.Stderr, Version: version,
-		Node: node.Run, Demo: demo.Run, Standins: demo.Serve, Load: demo.SendLoad, Signals: signals, Exit: os.Exit,
+		Node: node.Run, Edge: edge.Run, Demo: demo.Run, Standins: demo.Serve, Load: demo.SendLoad, Signals: signals, Exit: os.Exit,
 	}
 	os.Exit(a.Main(os.Args[1:]))
 }
--- /dev/null
+++ b/core/place/engine.go
@@ -0,0 +1,168 @@
+package place
+
+// This file defines how a model server is chosen: requests that share prompt parts go
+// to the same server while its load allows, so that the parts are read once.
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"bergamotspring/core/relay"
+)
+
+const (
+	// loadFactor and loadSlack bound the load of the preferred server over the mean.
+	loadFactor = 1.3
+	loadSlack  = 3
+	// coldShare of a cold server's rate is used by one home, since the homes of two
+	// regions, or an old and a new home, may use a server at once.
+	coldShare = 0.4
+	// retryNoServer is when a request without any usable server may come back.
+	retryNoServer = 500 * time.Millisecond
+	// engineBackoff is the first pause of a model server that broke off a request.
+	engineBackoff    = 500 * time.Millisecond
+	engineBackoffMax = 4 * time.Second
+	// tokensPerRun weighs a request in load as one run for each so many tokens.
+	tokensPerRun = 4000
+)
+
+// engine is a model server as the home knows it.
+type engine struct {
+	server  *relay.Server
+	running int
+	tokens  int // of the running requests
+	until   time.Time
+	backoff time.Duration
+	cold    []time.Time // of grants in the last second, while cold
+}
+
+func (e *engine) load() float64 { return float64(e.running) + float64(e.tokens)/tokensPerRun }
+
+// usable reports whether the server may get one more request.
+func (e *engine) usable(now time.Time, v *relay.View, j *job) bool {
+	if now.Before(e.until) || slices.Contains(j.ask.Avoid, e.server.ID) {
+		return false
+	}
+	s := v.Config.Services[e.server.Service]
+	if s == nil || s.ColdRate <= 0 || !e.server.Cold(now) {
+		return true
+	}
+	n := len(e.cold)
+	for n > 0 && now.Sub(e.cold[len(e.cold)-n]) > time.Second {
+		n--
+	}
+	e.cold = e.cold[len(e.cold)-n:]
+	return float64(n) < s.ColdRate*coldShare
+}
+
+// take counts a granted request.
+func (e *engine) take(now time.Time, tokens int) {
+	e.running++
+	e.tokens += tokens
+	if e.server.Cold(now) {
+		e.cold = append(e.cold, now)
+	}
+}
+
+// saw learns from the end of a run.
+func (e *engine) saw(now time.Time, r RunEnd) {
+	switch r {
+	case RunStarted, RunDone:
+		e.backoff = 0
+	case RunBroken:
+		e.backoff = min(max(2*e.backoff, engineBackoff), engineBackoffMax)
+		e.until = now.Add(e.backoff)
+	}
+}
+
+// engine returns the state of a model server, in its present entry.
+func (h *Home) engine(s *relay.Server) *engine {
+	e := h.engines[s.ID]
+	if e == nil {
+		e = &engine{}
+		h.engines[s.ID] = e
+	}
+	e.server = s
+	return e
+}
+
+// candidates returns the usable model servers for a job: those of the home's region,
+// or of others if there is none.
+func (h *Home) candidates(j *job) []*engine {
+	v := h.View()
+	if v.Config == nil {
+		return nil
+	}
+	now := h.Now()
+	var near, far []*engine
+	for _, s := range v.Servers[j.ask.Service] {
+		if len(j.ask.Regions) > 0 && !slices.Contains(j.ask.Regions, s.Region) {
+			continue
+		}
+		e := h.engine(s)
+		if !e.usable(now, v, j) {
+			continue
+		}
+		if s.Region == h.Region {
+			near = append(near, e)
+		} else {
+			far = append(far, e)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
+
+// chooseEngine returns the model server for a job, or nil. Servers in the failure
+// domain of the job's results come first, then the order of the prompt's group.
+func (h *Home) chooseEngine(j *job) *engine {
+	l := h.candidates(j)
+	if len(l) == 0 {
+		return nil
+	}
+	sum := 0.0
+	for _, e := range l {
+		sum += e.load()
+	}
+	bound := loadFactor*sum/float64(len(l)) + loadSlack
+	slices.SortFunc(l, func(a, b *engine) int {
+		return cmp.Or(
+			cmp.Compare(j.away(a), j.away(b)),
+			cmp.Compare(weight(j.ask.Group, b.server.ID), weight(j.ask.Group, a.server.ID)),
+		)
+	})
+	for _, e := range l {
+		if e.load() < bound {
+			return e
+		}
+	}
+	return slices.MinFunc(l, func(a, b *engine) int { return cmp.Compare(a.load(), b.load()) })
+}
+
+// away orders servers outside the failure domain of the job's results last.
+func (j *job) away(e *engine) int {
+	if j.domain == "" || e.server.Domain == j.domain {
+		return 0
+	}
+	return 1
+}
+
+// weight is the rendezvous hash of a prompt group and a server.
+func weight(group uint64, id string) uint64 {
+	f := fnv.New64a()
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(group >> (8 * i))
+	}
+	_, _ = f.Write(b[:]) // never fails
+	_, _ = f.Write([]byte(id))
+	x := f.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/core/place/home.go
@@ -0,0 +1,297 @@
+package place
+
+// This file defines the home and the life of a job: an ask from its admission until
+// its run has ended.
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bergamotspring/core/relay"
+)
+
+const (
+	// grantSlack is the time left below which a request is not worth granting.
+	grantSlack = 30 * time.Millisecond
+	// mostRemakes bounds how often pieces of one request are made again.
+	mostRemakes = 4
+	// keepGranted is how long a granted job is kept beyond its time limit, for a
+	// node that never reports its end.
+	keepGranted = 2 * time.Second
+)
+
+// Home places the model requests of a region. Set the fields before first use. It is
+// not safe for concurrent use.
+//
+// Invariants: the bytes that a maker has reserved are those of its pieces in calls
+// and of its results that it has not confirmed as freed; a piece is in one pool's
+// queue or in one call, not both.
+type Home struct {
+	Now    func() time.Time
+	View   func() *relay.View
+	Region string
+	// Repeat takes the right to make one more piece again at a service; nil: always.
+	Repeat func(service string) bool
+
+	jobs    map[string]*job
+	pools   map[string]*pool
+	engines map[string]*engine
+	calls   map[uint64]*call
+	frees   map[uint64]*freeing
+	number  uint64
+	work    Work
+}
+
+// job is a request from its ask until its run has ended.
+type job struct {
+	ask     Ask
+	arrived time.Time
+	goal    time.Time
+	limit   time.Time
+	stages  []*jobStage
+	domain  string // of the model server it is meant for
+	remakes int
+	granted *engine // set once granted
+	inputs  bool    // its inputs still take room
+}
+
+// jobStage is the progress of one stage of a job.
+type jobStage struct {
+	index    int
+	ask      *StageAsk
+	pieces   []*piece
+	left     int // pieces not made yet
+	released bool
+	started  bool // its pieces are queued
+}
+
+// piece is one piece of one stage of a job.
+type piece struct {
+	job     *job
+	stage   *jobStage
+	segment int
+	queued  time.Time
+	maker   *maker // in a call to it, or holding the result
+	handle  string
+}
+
+// Take drains what has to be done since the last Take.
+func (h *Home) Take() Work {
+	w := h.work
+	h.work = Work{}
+	return w
+}
+
+// Ask admits a request or refuses it.
+func (h *Home) Ask(a Ask) {
+	h.init()
+	now := h.Now()
+	h.forget(a.ID)
+	j := &job{ask: a, arrived: now, goal: now.Add(a.Goal), limit: now.Add(a.Left)}
+	e := h.chooseEngine(j)
+	if e == nil {
+		h.refuse(j, ReasonNoServer, retryNoServer)
+		return
+	}
+	j.domain = e.server.Domain
+	for i := range a.Stages {
+		j.stages = append(j.stages, &jobStage{index: i, ask: &j.ask.Stages[i], left: a.Stages[i].Pieces})
+	}
+	if w, ok := h.admit(j); !ok {
+		h.refuse(j, ReasonLate, w)
+		return
+	}
+	h.jobs[a.ID] = j
+	if a.Again {
+		j.remakes = 1
+	}
+	h.advance(j)
+	h.dispatch()
+}
+
+func (h *Home) init() {
+	if h.jobs == nil {
+		h.jobs = map[string]*job{}
+		h.pools = map[string]*pool{}
+		h.engines = map[string]*engine{}
+		h.calls = map[uint64]*call{}
+		h.frees = map[uint64]*freeing{}
+	}
+}
+
+// Withdraw forgets a request that nobody waits for.
+func (h *Home) Withdraw(id string) {
+	h.init()
+	h.forget(id)
+	h.dispatch()
+}
+
+// forget drops a job and frees what it holds.
+func (h *Home) forget(id string) {
+	j := h.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(h.jobs, id)
+	for _, s := range j.stages {
+		h.release(s)
+	}
+	if j.granted != nil {
+		j.granted.running--
+		j.granted.tokens -= j.ask.Tokens
+	}
+}
+
+// release drops the queued pieces of a stage and frees its results.
+func (h *Home) release(s *jobStage) {
+	if s.released {
+		return
+	}
+	s.released = true
+	for _, p := range s.pieces {
+		h.pool(s.ask.Service).remove(p)
+		if p.handle != "" {
+			p.maker.drop(p.handle, s.ask.ResultBytes)
+		}
+	}
+}
+
+// refuse answers an ask that gets no place.
+func (h *Home) refuse(j *job, reason string, after time.Duration) {
+	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Reason: reason, RetryAfter: after})
+	h.forget(j.ask.ID)
+}
+
+// advance queues the stages whose inputs are complete, and grants a job when all are.
+func (h *Home) advance(j *job) {
+	all := true
+	for _, s := range j.stages {
+		if s.left > 0 {
+			all = false
+		}
+		if !s.started && s.left > 0 && j.ready(s) {
+			h.start(j, s)
+		}
+	}
+	h.releaseInner(j)
+	if all {
+		h.grant(j)
+	}
+}
+
+// ready reports whether all results that a stage needs exist.
+func (j *job) ready(s *jobStage) bool {
+	for _, n := range s.ask.After {
+		if n >= 0 && n < len(j.stages) && j.stages[n].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// start queues all pieces of a stage.
+func (h *Home) start(j *job, s *jobStage) {
+	s.started = true
+	q := h.pool(s.ask.Service)
+	for n := range s.ask.Pieces {
+		p := &piece{job: j, stage: s, segment: n, queued: h.Now()}
+		s.pieces = append(s.pieces, p)
+		q.waiting = append(q.waiting, p)
+	}
+}
+
+// releaseInner frees the results of stages whose followers are all made.
+func (h *Home) releaseInner(j *job) {
+	for n, s := range j.stages {
+		if s.left > 0 || s.released {
+			continue
+		}
+		last, followed := true, false
+		for _, f := range j.stages {
+			if slices.Contains(f.ask.After, n) {
+				followed = true
+				last = last && f.left == 0
+			}
+		}
+		if followed && last {
+			h.release(s)
+		}
+	}
+}
+
+// leaves returns the handles of the stages that no other stage follows.
+func (j *job) leaves() []string {
+	var l []string
+	for n, s := range j.stages {
+		if !slices.ContainsFunc(j.stages, func(f *jobStage) bool { return slices.Contains(f.ask.After, n) }) {
+			l = append(l, s.handles()...)
+		}
+	}
+	return l
+}
+
+func (s *jobStage) handles() []string {
+	l := make([]string, 0, len(s.pieces))
+	for _, p := range s.pieces {
+		l = append(l, p.handle)
+	}
+	return l
+}
+
+// grant answers a job whose stages are complete.
+func (h *Home) grant(j *job) {
+	if j.granted != nil {
+		return
+	}
+	if h.Now().Add(grantSlack).After(j.limit) {
+		h.refuse(j, ReasonLate, h.backlog(j))
+		return
+	}
+	e := h.chooseEngine(j)
+	if e == nil {
+		h.refuse(j, ReasonNoServer, retryNoServer)
+		return
+	}
+	j.granted = e
+	e.take(h.Now(), j.ask.Tokens)
+	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Server: *e.server, Inputs: j.leaves()})
+}
+
+// Ran takes a node's report on a granted request.
+func (h *Home) Ran(id, server string, r RunEnd) {
+	h.init()
+	if e := h.engines[server]; e != nil {
+		e.saw(h.Now(), r)
+	}
+	j := h.jobs[id]
+	if j == nil {
+		return
+	}
+	if r == RunStarted {
+		for _, s := range j.stages {
+			h.release(s)
+		}
+	} else {
+		h.forget(id)
+	}
+	h.dispatch()
+}
+
+// Tick refuses what cannot be in time any more, ends what was forgotten by its node,
+// and fills calls. It is to be called every few tens of milliseconds.
+func (h *Home) Tick() {
+	h.init()
+	now := h.Now()
+	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
+		j := h.jobs[id]
+		switch {
+		case j.granted != nil && now.After(j.limit.Add(keepGranted)):
+			h.forget(id)
+		case j.granted == nil && now.Add(h.least(j)).After(j.limit):
+			h.refuse(j, ReasonLate, h.backlog(j))
+		}
+	}
+	h.prune()
+	h.dispatch()
+}
--- /dev/null
+++ b/core/place/place.go
@@ -0,0 +1,134 @@
+// Package place decides, at the home of a region, when and where model requests run:
+// whether they are admitted, which pieces of their stages go into the next call of
+// which server, and which model server they get.
+//
+// The home's state is soft: when it is lost, nodes ask the next home and pieces are
+// made again. Only nodes send requests that must not run twice. This file defines
+// what passes between a node, the home and the servers of stages.
+package place
+
+import (
+	"time"
+
+	"bergamotspring/core/relay"
+)
+
+// Ask is a model request that wants a place. Durations count from when the home got it.
+type Ask struct {
+	ID      string // request id; unique among the requests in progress
+	Service string // of model servers
+	Stages  []StageAsk
+	Key     string // that pieces without inputs are made from
+	Group   uint64 // fingerprint of the shared prompt parts, 0: none
+	Tokens  int    // prompt and answer
+	Rank    int    // 0 is the most urgent
+	Goal    time.Duration
+	Left    time.Duration
+	Regions []string // the only ones that may serve it; empty: all
+	Avoid   []string // ids of servers that do not take it
+	Again   bool     // its pieces were made before
+}
+
+// StageAsk is one stage of a request.
+type StageAsk struct {
+	Service     string
+	After       []int
+	ResultBytes int64
+	Pieces      int // 0: the stage is left out
+}
+
+// Answer ends an Ask: with a grant, or with a refusal if Server is empty.
+type Answer struct {
+	ID     string
+	Server relay.Server
+	Inputs []string // handles for the model server
+	Reason string   // of a refusal
+	// RetryAfter is the time after which a refused request is worth sending again.
+	RetryAfter time.Duration
+}
+
+// Granted reports whether the answer is a grant.
+func (a *Answer) Granted() bool { return a.Server.ID != "" }
+
+// Reasons of refusals.
+const (
+	ReasonLate     = "the stages would end after the time limit"
+	ReasonNoServer = "no usable server"
+	ReasonWithdraw = "withdrawn"
+	ReasonFailed   = "a stage failed repeatedly"
+)
+
+// Piece is one item of a call to a server of a stage.
+type Piece struct {
+	Request string
+	Stage   int
+	Segment int
+	Key     string   // for stages that need no results
+	Inputs  []string // handles, for the others
+	Left    time.Duration
+}
+
+// Call is a call to a server of a stage.
+type Call struct {
+	Number  uint64
+	Server  relay.Server
+	Pieces  []Piece
+	Timeout time.Duration // after which the server counts as silent
+}
+
+// Free tells a server that results are not needed any more.
+type Free struct {
+	Number  uint64
+	Server  relay.Server
+	Handles []string
+}
+
+// Work is what the home wants done: calls and frees are sent at once and reported
+// by Called and Freed; answers go to the nodes.
+type Work struct {
+	Answers []Answer
+	Calls   []Call
+	Frees   []Free
+}
+
+// CallEnd says how a call ended.
+type CallEnd uint8
+
+// The ends of a call.
+const (
+	CallDone     CallEnd = iota // answered, see the pieces
+	CallRejected                // the server states that nothing was done
+	CallMoved                   // another server has the address
+	CallRefused                 // no process listens at the address
+	CallBroken                  // no connection, cut off or silent
+)
+
+// PieceEnd says what became of a piece.
+type PieceEnd uint8
+
+// The ends of a piece.
+const (
+	PieceMade  PieceEnd = iota
+	PieceLate           // its time had passed
+	PieceGone           // an input no longer exists
+	PieceRoom           // no room for the result
+	PieceError          // the server failed on it
+)
+
+// PieceResult is the answer to one piece.
+type PieceResult struct {
+	End    PieceEnd
+	Handle string // if made
+}
+
+// RunEnd says how a granted request ended at its model server.
+type RunEnd uint8
+
+// The ends of a run.
+const (
+	RunStarted  RunEnd = iota // the first event came; the inputs are not needed any more
+	RunDone                   // ended well
+	RunRejected               // the server states that it did not run it
+	RunBroken                 // no connection, cut off or silent
+	RunLeft                   // the caller left, or the time limit passed
+)
--- /dev/null
+++ b/core/place/pool.go
@@ -0,0 +1,441 @@
+package place
+
+// This file defines the pools: the servers of one stage service, the pieces that wait
+// for them, and the room for results.
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"bergamotspring/core/relay"
+)
+
+const (
+	// localBytes is the size from which a result is made in the failure domain of
+	// its model server where possible; smaller ones go to whichever server is free.
+	localBytes = 32 << 10
+	// spillAfter is how long a piece waits for a server in its own failure domain.
+	spillAfter = 250 * time.Millisecond
+	// fullPause is the pause of a server that rejected a call or had no room.
+	fullPause = 60 * time.Millisecond
+	// makerBackoff is the first pause of a server that broke off a call.
+	makerBackoff    = 400 * time.Millisecond
+	makerBackoffMax = 4 * time.Second
+	// callPatience and callSlack bound the time of a call over the expected.
+	callPatience = 3
+	callSlack    = 600 * time.Millisecond
+	// paceShare is the weight of the newest call in a server's pace.
+	paceShare = 0.3
+)
+
+// pool holds the servers of one stage service and the pieces that wait for them.
+type pool struct {
+	service string
+	waiting []*piece
+	makers  map[string]*maker
+}
+
+// maker is a server of a stage.
+type maker struct {
+	server   *relay.Server
+	calls    int   // in progress
+	reserved int64 // bytes of results, made or in the making
+	freeable []string
+	freed    map[string]int64 // bytes of each handle to free or being freed
+	until    time.Time
+	backoff  time.Duration
+	pace     float64 // time of its calls relative to the expected, 0: not seen
+	freeing  bool    // a free is on its way
+	dead     bool    // its results are lost
+}
+
+// call is a call in progress.
+type call struct {
+	maker    *maker
+	pool     *pool
+	pieces   []*piece
+	started  time.Time
+	expected time.Duration
+}
+
+// freeing is a release of results in progress.
+type freeing struct {
+	maker   *maker
+	handles []string
+}
+
+func (h *Home) pool(service string) *pool {
+	q := h.pools[service]
+	if q == nil {
+		q = &pool{service: service, makers: map[string]*maker{}}
+		h.pools[service] = q
+	}
+	return q
+}
+
+// sorted returns the pools in the order of their names.
+func (h *Home) sorted() []*pool {
+	l := make([]*pool, 0, len(h.pools))
+	for _, n := range slices.Sorted(maps.Keys(h.pools)) {
+		l = append(l, h.pools[n])
+	}
+	return l
+}
+
+// prune forgets servers that are not registered any more.
+func (h *Home) prune() {
+	v := h.View()
+	known := map[string]bool{}
+	for _, l := range v.Servers {
+		for _, s := range l {
+			known[s.ID] = true
+		}
+	}
+	for id, e := range h.engines {
+		if !known[id] && e.running == 0 {
+			delete(h.engines, id)
+		}
+	}
+	for _, q := range h.pools {
+		for id, m := range q.makers {
+			if !known[id] && m.calls == 0 {
+				delete(q.makers, id)
+			}
+		}
+	}
+}
+
+func (q *pool) remove(p *piece) {
+	if n := slices.Index(q.waiting, p); n >= 0 {
+		q.waiting = slices.Delete(q.waiting, n, n+1)
+	}
+}
+
+// drop queues a handle to be freed. Its room counts until the server confirms.
+func (m *maker) drop(handle string, bytes int64) {
+	if m.dead {
+		return
+	}
+	if m.freed == nil {
+		m.freed = map[string]int64{}
+	}
+	m.freeable = append(m.freeable, handle)
+	m.freed[handle] = bytes
+}
+
+// slowness orders servers by their pace; one not seen yet counts as usual.
+func (m *maker) slowness() float64 {
+	if m.pace == 0 {
+		return 1
+	}
+	return m.pace
+}
+
+// usable returns the servers of a pool that may get a call now, the best first.
+func (h *Home) usable(q *pool, w *relay.PieceWork) []*maker {
+	now := h.Now()
+	var l []*maker
+	for _, m := range h.makers(q) {
+		if m.calls < w.Calls && !now.Before(m.until) {
+			l = append(l, m)
+		}
+	}
+	slices.SortStableFunc(l, func(a, b *maker) int {
+		return cmp.Or(cmp.Compare(a.calls, b.calls), cmp.Compare(a.slowness(), b.slowness()))
+	})
+	return l
+}
+
+// makers returns the servers of a pool that the home uses: those of its region, or
+// of others if there is none.
+func (h *Home) makers(q *pool) []*maker {
+	var near, far []*maker
+	for _, s := range h.View().Servers[q.service] {
+		m := q.makers[s.ID]
+		if m == nil {
+			m = &maker{}
+			q.makers[s.ID] = m
+		}
+		m.server = s
+		if s.Region == h.Region {
+			near = append(near, m)
+		} else {
+			far = append(far, m)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
+
+// dispatch fills the calls of all servers that can take one.
+func (h *Home) dispatch() {
+	v := h.View()
+	if v.Config == nil {
+		return
+	}
+	for _, q := range h.sorted() {
+		s := v.Config.Services[q.service]
+		if s == nil || s.Pieces == nil {
+			continue
+		}
+		for _, m := range h.usable(q, s.Pieces) {
+			if len(q.waiting) == 0 {
+				break
+			}
+			if l := h.batch(q, m, s.Pieces); len(l) > 0 {
+				h.send(q, m, l, s.Pieces)
+			}
+		}
+	}
+	h.free()
+}
+
+// batch takes the pieces for the next call of a server out of the queue, the most
+// urgent first, as far as its room goes.
+func (h *Home) batch(q *pool, m *maker, w *relay.PieceWork) []*piece {
+	now := h.Now()
+	type entry struct {
+		p     *piece
+		order order
+	}
+	l := make([]entry, 0, len(q.waiting))
+	for _, p := range q.waiting {
+		if h.fits(q, m, p, now) {
+			l = append(l, entry{p, h.order(p, now)})
+		}
+	}
+	slices.SortStableFunc(l, func(a, b entry) int { return a.order.compare(b.order) })
+	var taken []*piece
+	room := w.RoomBytes - m.reserved
+	for _, e := range l {
+		b := e.p.stage.ask.ResultBytes
+		if len(taken) == w.Batch || b > room {
+			break
+		}
+		room -= b
+		taken = append(taken, e.p)
+	}
+	for _, p := range taken {
+		q.remove(p)
+	}
+	return taken
+}
+
+// fits reports whether a piece may go to a server: large results are made next to
+// their model server, unless no server there can make them soon.
+func (h *Home) fits(q *pool, m *maker, p *piece, now time.Time) bool {
+	if p.stage.ask.ResultBytes < localBytes || m.server.Domain == p.job.domain {
+		return true
+	}
+	if now.Sub(p.queued) >= spillAfter {
+		return true
+	}
+	return !slices.ContainsFunc(h.makers(q), func(o *maker) bool {
+		return o.server.Domain == p.job.domain && !now.Before(o.until)
+	})
+}
+
+// send makes a call.
+func (h *Home) send(q *pool, m *maker, l []*piece, w *relay.PieceWork) {
+	h.number++
+	expected := time.Duration(float64(w.CallTime+time.Duration(len(l))*w.PieceTime) * max(1, m.pace))
+	c := &call{maker: m, pool: q, pieces: l, started: h.Now(), expected: expected}
+	h.calls[h.number] = c
+	m.calls++
+	k := Call{Number: h.number, Server: *m.server, Timeout: callPatience*expected + callSlack}
+	for _, p := range l {
+		p.maker = m
+		m.reserved += p.stage.ask.ResultBytes
+		k.Pieces = append(k.Pieces, p.item(c.started))
+	}
+	h.work.Calls = append(h.work.Calls, k)
+}
+
+func (p *piece) item(now time.Time) Piece {
+	i := Piece{
+		Request: p.job.ask.ID, Stage: p.stage.index, Segment: p.segment, Left: p.job.limit.Sub(now),
+	}
+	if len(p.stage.ask.After) == 0 {
+		i.Key = p.job.ask.Key
+		return i
+	}
+	for _, n := range p.stage.ask.After {
+		i.Inputs = append(i.Inputs, p.job.stages[n].handles()...)
+	}
+	return i
+}
+
+// Called takes the end of a call. The results are those of its pieces, in order;
+// there are none unless the call is done.
+func (h *Home) Called(number uint64, end CallEnd, results []PieceResult) {
+	h.init()
+	c := h.calls[number]
+	if c == nil {
+		return
+	}
+	delete(h.calls, number)
+	c.maker.calls--
+	h.learn(c, end)
+	if end != CallDone || len(results) != len(c.pieces) {
+		results = make([]PieceResult, len(c.pieces))
+		for i := range results {
+			results[i].End = PieceError
+		}
+	}
+	// A call that was not begun costs no attempt.
+	counted := end == CallDone || end == CallBroken
+	for i, p := range c.pieces {
+		h.made(c, p, results[i], counted)
+	}
+	h.dispatch()
+}
+
+// learn updates what is known of a server from the end of a call.
+func (h *Home) learn(c *call, end CallEnd) {
+	now, m := h.Now(), c.maker
+	switch end {
+	case CallDone:
+		m.backoff = 0
+		p := max(1, m.pace) * float64(now.Sub(c.started)) / float64(c.expected)
+		if m.pace == 0 {
+			m.pace = p
+		}
+		m.pace += paceShare * (p - m.pace)
+	case CallRejected:
+		m.until = now.Add(fullPause)
+	case CallMoved, CallRefused, CallBroken:
+		m.backoff = min(max(2*m.backoff, makerBackoff), makerBackoffMax)
+		m.until = now.Add(m.backoff)
+		if end != CallBroken { // one broken connection does not tell that the process ended
+			h.lose(c.pool, m)
+		}
+	}
+}
+
+// made takes the result of one piece of a call.
+func (h *Home) made(c *call, p *piece, r PieceResult, counted bool) {
+	m, bytes := c.maker, p.stage.ask.ResultBytes
+	alive := h.jobs[p.job.ask.ID] == p.job && !p.stage.released
+	if r.End == PieceMade && !alive {
+		m.drop(r.Handle, bytes)
+		return
+	}
+	if r.End == PieceMade {
+		p.handle = r.Handle
+		p.stage.left--
+		h.advance(p.job)
+		return
+	}
+	m.reserved -= bytes
+	p.maker = nil
+	if !alive {
+		return
+	}
+	switch r.End {
+	case PieceLate:
+		h.refuse(p.job, ReasonLate, h.backlog(p.job))
+	case PieceGone:
+		h.restart(p.job)
+	case PieceRoom:
+		m.until = h.Now().Add(fullPause)
+		c.pool.waiting = append(c.pool.waiting, p)
+	default:
+		h.remake(c.pool, p, counted)
+	}
+}
+
+// remake queues a piece again.
+func (h *Home) remake(q *pool, p *piece, counted bool) {
+	j := p.job
+	if counted {
+		j.remakes++
+	}
+	if j.remakes > mostRemakes || h.Repeat != nil && !h.Repeat(q.service) {
+		h.refuse(j, ReasonFailed, h.backlog(j))
+		return
+	}
+	q.waiting = append(q.waiting, p)
+}
+
+// restart makes all pieces of a job again, since an input is gone.
+func (h *Home) restart(j *job) {
+	j.remakes++
+	if j.remakes > mostRemakes {
+		h.refuse(j, ReasonFailed, h.backlog(j))
+		return
+	}
+	for i, s := range j.stages {
+		h.release(s)
+		j.stages[i] = &jobStage{index: i, ask: s.ask, left: s.ask.Pieces}
+	}
+	h.advance(j)
+}
+
+// lose forgets the results of a server whose process has ended.
+func (h *Home) lose(q *pool, m *maker) {
+	m.dead = true
+	fresh := &maker{server: m.server, until: m.until, backoff: m.backoff}
+	q.makers[m.server.ID] = fresh
+	for _, j := range h.jobs {
+		if j.granted != nil {
+			continue
+		}
+		for _, s := range j.stages {
+			if s.ask.Service == q.service && !s.released {
+				h.loseStage(q, s, m)
+			}
+		}
+	}
+}
+
+func (h *Home) loseStage(q *pool, s *jobStage, m *maker) {
+	for _, p := range s.pieces {
+		if p.maker == m && p.handle != "" {
+			p.handle, p.maker = "", nil
+			s.left++
+			q.waiting = append(q.waiting, p)
+		}
+	}
+}
+
+// free sends what can be freed, one message to a server at a time.
+func (h *Home) free() {
+	for _, q := range h.sorted() {
+		for _, id := range slices.Sorted(maps.Keys(q.makers)) {
+			m := q.makers[id]
+			if m.freeing || len(m.freeable) == 0 {
+				continue
+			}
+			h.number++
+			h.frees[h.number] = &freeing{maker: m, handles: m.freeable}
+			h.work.Frees = append(h.work.Frees, Free{Number: h.number, Server: *m.server, Handles: m.freeable})
+			m.freeable, m.freeing = nil, true
+		}
+	}
+}
+
+// Freed takes the end of a Free. If it failed, the results stay until the server
+// drops them by itself; their room counts until they are freed by a later message.
+func (h *Home) Freed(number uint64, ok bool) {
+	h.init()
+	f := h.frees[number]
+	if f == nil {
+		return
+	}
+	delete(h.frees, number)
+	f.maker.freeing = false
+	if ok {
+		for _, x := range f.handles {
+			f.maker.reserved -= f.maker.freed[x]
+			delete(f.maker.freed, x)
+		}
+	} else if !f.maker.dead {
+		f.maker.freeable = append(f.maker.freeable, f.handles...)
+		f.maker.until = h.Now().Add(fullPause)
+	}
+	h.dispatch()
+}
--- /dev/null
+++ b/core/relay/stock.go
@@ -0,0 +1,147 @@
+package relay
+
+// This file defines the stock of servers: how registrations come, change and lapse.
+
+import (
+	"sync"
+	"time"
+)
+
+// lapseGrace is how long an entry that vanished around an outage of the store may
+// take to come back before its server counts as gone.
+const lapseGrace = 2200 * time.Millisecond
+
+// Stock collects what the store says and makes views of it. The zero value is ready
+// to use, with a clock that stands still. It is safe for concurrent use.
+//
+// Invariant: the version of the configuration never falls.
+type Stock struct {
+	Now func() time.Time
+
+	mu      sync.Mutex
+	config  *Configuration
+	servers map[string]*Server
+	out     map[string]bool
+	lapsed  map[string]time.Time // vanished entries and when they count as gone
+	back    time.Time            // when the store was last reached after an outage
+	view    *View
+}
+
+func (s *Stock) now() time.Time {
+	if s.Now == nil {
+		return time.Time{}
+	}
+	return s.Now()
+}
+
+// View returns the present view, never nil.
+func (s *Stock) View() *View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if s.view == nil {
+		l := make([]*Server, 0, len(s.servers))
+		for _, x := range s.servers {
+			l = append(l, x)
+		}
+		s.view = NewView(s.config, l, s.out)
+	}
+	return s.view
+}
+
+// Install takes a configuration unless a newer one is known, and reports whether it
+// changed anything.
+func (s *Stock) Install(c *Configuration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c == nil || s.config != nil && c.Version <= s.config.Version {
+		return false
+	}
+	s.config = c
+	s.view = nil
+	return true
+}
+
+// TakeOut replaces the set of failure domains that get nothing.
+func (s *Stock) TakeOut(out map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out = out
+	s.view = nil
+}
+
+// Returned notes that the store answers again after an outage.
+func (s *Stock) Returned() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.back = s.now()
+}
+
+// Replace takes a whole list of servers.
+func (s *Stock) Replace(l []*Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	keep := map[string]bool{}
+	for _, x := range l {
+		keep[x.ID] = true
+		s.put(x)
+	}
+	for id := range s.servers {
+		if !keep[id] {
+			s.drop(id)
+		}
+	}
+	s.view = nil
+}
+
+// Put takes the entry of one server.
+func (s *Stock) Put(x *Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(x)
+	s.view = nil
+}
+
+func (s *Stock) put(x *Server) {
+	if s.servers == nil {
+		s.servers = map[string]*Server{}
+	}
+	s.servers[x.ID] = x
+	delete(s.lapsed, x.ID)
+}
+
+// Drop notes that an entry vanished.
+func (s *Stock) Drop(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(id)
+	s.view = nil
+}
+
+// drop removes an entry, at once or after the grace of an outage. The lock is held.
+func (s *Stock) drop(id string) {
+	if s.servers[id] == nil {
+		return
+	}
+	until := s.back.Add(lapseGrace)
+	if s.back.IsZero() || !s.now().Before(until) {
+		delete(s.servers, id)
+		delete(s.lapsed, id)
+		return
+	}
+	if s.lapsed == nil {
+		s.lapsed = map[string]time.Time{}
+	}
+	s.lapsed[id] = until
+}
+
+// expire removes entries whose grace has passed. The lock is held.
+func (s *Stock) expire() {
+	for id, t := range s.lapsed {
+		if !s.now().Before(t) {
+			delete(s.servers, id)
+			delete(s.lapsed, id)
+			s.view = nil
+		}
+	}
+}
--- /dev/null
+++ b/core/relay/view.go
@@ -0,0 +1,106 @@
+package relay
+
+// This file defines the view: one immutable answer to "what holds now", from which a
+// request is decided.
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+)
+
+// View is what a node believes of configuration and servers. It is not changed after
+// it was made. The zero value knows no configuration.
+type View struct {
+	Config *Configuration
+	// Servers holds the servers of each service, in the order of their ids, without
+	// those that are leaving or in a failure domain that is taken out.
+	Servers map[string][]*Server
+
+	hosts map[string][]*Route // longest prefix first
+}
+
+// NewView returns a view. Out names the failure domains that are taken out.
+func NewView(c *Configuration, servers []*Server, out map[string]bool) *View {
+	v := &View{Config: c, Servers: map[string][]*Server{}, hosts: map[string][]*Route{}}
+	for _, s := range servers {
+		if !s.Leaving && !out[s.Domain] {
+			v.Servers[s.Service] = append(v.Servers[s.Service], s)
+		}
+	}
+	for _, l := range v.Servers {
+		slices.SortFunc(l, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+	}
+	if c == nil {
+		return v
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		v.hosts[r.Host] = append(v.hosts[r.Host], r)
+	}
+	for _, l := range v.hosts {
+		slices.SortStableFunc(l, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return v
+}
+
+// Match returns the route with the longest prefix of the path among those of the
+// host, or nil.
+func (v *View) Match(host, path string) *Route {
+	for _, r := range v.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Organisation returns who holds a key, and whether a request of the route with this
+// key is allowed. The organisation is nil where none applies.
+func (v *View) Organisation(r *Route, key string) (*Organisation, bool) {
+	if v.Config.Keys == nil {
+		return nil, true
+	}
+	o := v.Config.Keys[key]
+	return o, o != nil || r.Public
+}
+
+// Pick returns the service that serves a request. The same id picks the same service.
+func (r *Route) Pick(id string) string {
+	sum := 0
+	for _, t := range r.Targets {
+		sum += max(0, t.Weight)
+	}
+	if sum == 0 {
+		return r.Targets[0].Service
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	n := int(h.Sum32() % uint32(sum))
+	for _, t := range r.Targets {
+		if n -= max(0, t.Weight); n < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[0].Service
+}
+
+// Allows reports whether a request may be served in a region.
+func Allows(r *Route, o *Organisation, region string) bool {
+	if len(r.Regions) > 0 && !slices.Contains(r.Regions, region) {
+		return false
+	}
+	return o == nil || len(o.Regions) == 0 || slices.Contains(o.Regions, region)
+}
+
+// Rank returns the urgency of a request, 0 first.
+func Rank(r *Route, o *Organisation) int {
+	if o != nil && o.Ranked {
+		return o.Rank
+	}
+	return r.Rank
+}
+
+// Cold reports whether a server is in its cold start at a time.
+func (s *Server) Cold(now time.Time) bool { return now.Before(s.ColdTil) }
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,122 @@
+// Package roster decides which nodes are the home of a region, and in which order the
+// others follow.
+//
+// Nodes register in the platform's store. The store's version counter orders the
+// registrations, so that all nodes agree on the order without a lease: the home is
+// the oldest registered node that answers.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// suspicion is how long a node that did not answer is passed over.
+const suspicion = 2 * time.Second
+
+// Node is a registered node.
+type Node struct {
+	Name        string
+	Peer        string // IP:port for links between nodes
+	Domain      string
+	Region      string
+	Incarnation string
+	Order       uint64 // of its registration; the lowest one is first
+}
+
+// Roster holds the registered nodes. The zero value is ready to use, with a clock that
+// stands still. It is safe for concurrent use.
+type Roster struct {
+	Now func() time.Time
+
+	mu      sync.Mutex
+	nodes   map[string]Node // by peer address
+	suspect map[string]time.Time
+}
+
+func (r *Roster) now() time.Time {
+	if r.Now == nil {
+		return time.Time{}
+	}
+	return r.Now()
+}
+
+// Replace takes the whole list of nodes.
+func (r *Roster) Replace(l []Node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes = make(map[string]Node, len(l))
+	for _, n := range l {
+		r.nodes[n.Peer] = n
+	}
+}
+
+// Suspect notes that a node did not answer.
+func (r *Roster) Suspect(peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspect == nil {
+		r.suspect = map[string]time.Time{}
+	}
+	r.suspect[peer] = r.now().Add(suspicion)
+}
+
+// Clear notes that a node answered.
+func (r *Roster) Clear(peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.suspect, peer)
+}
+
+// Homes returns the nodes of a region in the order in which they are home: those that
+// answer first, each group in the order of registration.
+func (r *Roster) Homes(region string) []Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	var l []Node
+	for _, n := range r.nodes {
+		if n.Region == region {
+			l = append(l, n)
+		}
+	}
+	slices.SortFunc(l, func(a, b Node) int {
+		return cmp.Or(cmp.Compare(r.rank(a, now), r.rank(b, now)), cmp.Compare(a.Order, b.Order))
+	})
+	return l
+}
+
+// rank puts suspects last. The lock is held.
+func (r *Roster) rank(n Node, now time.Time) int {
+	if now.Before(r.suspect[n.Peer]) {
+		return 1
+	}
+	return 0
+}
+
+// All returns all nodes in the order of their names.
+func (r *Roster) All() []Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := make([]Node, 0, len(r.nodes))
+	for _, n := range r.nodes {
+		l = append(l, n)
+	}
+	slices.SortFunc(l, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
+	return l
+}
+
+// Regions returns the regions that have nodes, in order.
+func (r *Roster) Regions() []string {
+	var l []string
+	for _, n := range r.All() {
+		if !slices.Contains(l, n.Region) {
+			l = append(l, n.Region)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
--- /dev/null
+++ b/io/edge/beliefs.go
@@ -0,0 +1,165 @@
+package edge
+
+// This file defines what a node makes of the tables that it follows.
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotspring/core/relay"
+	"bergamotspring/core/roster"
+	"bergamotspring/core/store"
+	"bergamotspring/io/peer"
+	"bergamotspring/platform"
+)
+
+// beliefs holds the followers of a node and what they feed.
+type beliefs struct {
+	settings *platform.Settings
+	store    *platform.Store
+	stock    *relay.Stock
+	roster   *roster.Roster
+	log      *zap.Logger
+	// peers returns the links to other nodes, nil until the fleet's key is known.
+	peers func() *peer.Mesh
+
+	operator, servers, nodes *follower
+}
+
+func (b *beliefs) init() {
+	b.operator = b.follower(platform.TableOperator, waitOperator, 0, b.operatorChanged)
+	b.servers = b.follower(platform.TableServers, 0, serversEvery, b.serversChanged)
+	b.servers.returned = b.stock.Returned
+	b.nodes = b.follower(platform.TableNodes, waitNodes, 0, b.nodesChanged)
+}
+
+func (b *beliefs) follower(table string, wait, every time.Duration, changed func(map[string]store.Row, []string)) *follower {
+	return &follower{table: table, wait: wait, every: every, store: b.store, log: b.log, changed: changed, mirror: b.mirror}
+}
+
+func (b *beliefs) all() []*follower { return []*follower{b.operator, b.servers, b.nodes} }
+
+func (b *beliefs) operatorChanged(rows map[string]store.Row, _ []string) {
+	v := make(map[string][]byte, len(rows))
+	for k, r := range rows {
+		v[k] = r.Value
+	}
+	c, out, err := platform.DecodeOperator(v)
+	b.stock.TakeOut(out)
+	if err != nil {
+		b.log.Error("configuration_unreadable", zap.Error(err))
+		return
+	}
+	if b.stock.Install(c) {
+		b.log.Info("configuration_installed", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)), zap.Int("taken_out", len(out)))
+	}
+}
+
+func (b *beliefs) serversChanged(rows map[string]store.Row, keys []string) {
+	if keys == nil {
+		l := make([]*relay.Server, 0, len(rows))
+		for k, r := range rows {
+			if s := b.server(k, r); s != nil {
+				l = append(l, s)
+			}
+		}
+		b.stock.Replace(l)
+		return
+	}
+	for _, k := range keys {
+		r, ok := rows[k]
+		if !ok {
+			b.log.Info("server_entry_gone", zap.String("server", k))
+			b.stock.Drop(k)
+			continue
+		}
+		if s := b.server(k, r); s != nil {
+			b.stock.Put(s)
+		} else {
+			b.stock.Drop(k)
+		}
+	}
+}
+
+// server decodes an entry; nil: it names no server to use.
+func (b *beliefs) server(id string, r store.Row) *relay.Server {
+	s, err := platform.DecodeServer(id, r.Value, b.settings.Domains, time.Now())
+	if err != nil {
+		b.log.Warn("server_entry_unreadable", zap.String("server", id), zap.Error(err))
+		return nil
+	}
+	return s
+}
+
+func (b *beliefs) nodesChanged(rows map[string]store.Row, _ []string) {
+	l := make([]roster.Node, 0, len(rows))
+	for _, r := range rows {
+		n, err := platform.DecodeNode(r)
+		if err != nil {
+			b.log.Warn("node_entry_unreadable", zap.Error(err))
+			continue
+		}
+		l = append(l, n)
+	}
+	b.roster.Replace(l)
+}
+
+// mirror asks some peers for what they have read, until one answers.
+func (b *beliefs) mirror(ctx context.Context) {
+	m := b.peers()
+	if m == nil {
+		return
+	}
+	have := make([]peer.MirrorTable, 0, len(b.all()))
+	for _, f := range b.all() {
+		have = append(have, f.have())
+	}
+	l := b.roster.All()
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	asked := 0
+	for _, n := range l {
+		if n.Peer == b.settings.Peer || asked == mostMirrors {
+			continue
+		}
+		asked++
+		c, cancel := context.WithTimeout(ctx, mirrorTimeout)
+		t, err := m.FetchMirror(c, n.Peer, have)
+		cancel()
+		if err != nil {
+			b.log.Info("mirror_failed", zap.String("peer", n.Peer), zap.Error(err))
+			continue
+		}
+		b.mirrored(n.Peer, t)
+		return
+	}
+}
+
+func (b *beliefs) mirrored(from string, l []peer.MirrorTable) {
+	for _, t := range l {
+		for _, f := range b.all() {
+			if f.table == t.Table {
+				b.log.Info("mirrored", zap.String("table", t.Table), zap.String("peer", from), zap.Uint64("version", t.Version))
+				f.replace(t.Rows, t.Version, false)
+			}
+		}
+	}
+}
+
+// newer returns the tables that are newer than those of a peer.
+func (b *beliefs) newer(have []peer.MirrorTable) []peer.MirrorTable {
+	var l []peer.MirrorTable
+	for _, h := range have {
+		for _, f := range b.all() {
+			if f.table != h.Table {
+				continue
+			}
+			if t, ok := f.newer(h.Version); ok {
+				l = append(l, t)
+			}
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/io/edge/edge.go
@@ -0,0 +1,222 @@
+// Package edge assembles a node on the users' platform: it follows the store, links to
+// the other nodes, places requests as the home of its region, and serves callers.
+//
+// Locks are taken one at a time; none is held during I/O.
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"bergamotspring/core/budget"
+	"bergamotspring/core/lease"
+	"bergamotspring/core/place"
+	corerelay "bergamotspring/core/relay"
+	"bergamotspring/core/roster"
+	"bergamotspring/io/exchange"
+	"bergamotspring/io/peer"
+	"bergamotspring/io/relay"
+	"bergamotspring/platform"
+)
+
+const (
+	// memoryShare of the memory limit is where the garbage collector works harder.
+	memoryShare = 0.7
+	// sweepEvery is how often idle connections to servers are looked through.
+	sweepEvery = 500 * time.Millisecond
+	// idleCallers is how long a caller's connection may be idle; callers are told by
+	// the configuration of the platform, which allows less.
+	idleCallers = 2 * time.Minute
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 10 * time.Second
+	maxHeader     = 64 << 10
+)
+
+// Node is a node on the users' platform. Settings and Log must be set.
+type Node struct {
+	Settings *platform.Settings
+	Log      *zap.Logger
+
+	store    platform.Store
+	stock    corerelay.Stock
+	roster   roster.Roster
+	pool     exchange.Pool
+	home     home
+	beliefs  beliefs
+	placing  placing
+	mesh     atomic.Pointer[peer.Mesh]
+	self     roster.Node
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	repeats map[string]*budget.Repeats // of each service
+}
+
+// Run reads the settings file at a path, empty: where the platform places it, and runs a node until the context ends; it
+// then stops as planned.
+func Run(ctx context.Context, path string) error {
+	l, err := logger()
+	if err != nil {
+		return err
+	}
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	n := &Node{Settings: s, Log: l.With(zap.String("node", s.Node))}
+	return n.Run(ctx, path)
+}
+
+func (n *Node) init() {
+	s := n.Settings
+	b := make([]byte, 8)
+	_, _ = rand.Read(b) // never fails
+	n.self = roster.Node{Name: s.Node, Peer: s.Peer, Domain: s.Domain, Region: s.Region, Incarnation: hex.EncodeToString(b)}
+	n.store.Address = s.Store
+	n.stock.Now, n.roster.Now = time.Now, time.Now
+	n.home.pool, n.home.log = &n.pool, n.Log
+	n.home.place = place.Home{Now: time.Now, View: n.stock.View, Region: s.Region, Repeat: n.repeat}
+	n.beliefs = beliefs{settings: s, store: &n.store, stock: &n.stock, roster: &n.roster, log: n.Log, peers: n.mesh.Load}
+	n.beliefs.init()
+	n.placing = placing{self: s.Peer, region: s.Region, roster: &n.roster, mesh: n.mesh.Load, home: &n.home, log: n.Log}
+}
+
+// Run runs the node until the context ends.
+func (n *Node) Run(ctx context.Context, path string) error {
+	n.init()
+	n.Log.Info("start", zap.String("domain", n.self.Domain), zap.String("incarnation", n.self.Incarnation), zap.String("callers", n.Settings.Callers))
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	callers := n.callers()
+	var g run.Group
+	g.Add(func() error { return n.stop(ctx, work, callers) }, func(error) { end() })
+	for _, f := range n.beliefs.all() {
+		g.Add(func() error { f.run(work); return nil }, func(error) { end() })
+	}
+	g.Add(func() error { n.home.run(work); return nil }, func(error) { end() })
+	g.Add(func() error { n.link(work); return nil }, func(error) { end() })
+	g.Add(func() error { n.tend(work, path); return nil }, func(error) { end() })
+	g.Add(func() error { return serve(callers) }, func(error) { _ = callers.Close() })
+	probe := &http.Server{Addr: n.Settings.Readiness, Handler: http.HandlerFunc(n.readiness), ReadHeaderTimeout: headerTimeout}
+	g.Add(func() error { return serve(probe) }, func(error) { _ = probe.Close() })
+	err := g.Run()
+	if m := n.mesh.Load(); m != nil {
+		m.Close()
+	}
+	n.Log.Info("stopped", zap.Error(err))
+	return err
+}
+
+func serve(s *http.Server) error {
+	l, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return err
+	}
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// callers returns the server for callers.
+func (n *Node) callers() *http.Server {
+	s := &relay.Server{
+		Protocol: platform.Protocol(), View: n.stock.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
+		Pool: &n.pool, Place: n.placing.place, Ran: n.placing.note, First: n.first, Repeat: n.repeat,
+		Stopping: n.stopping.Load, Log: n.Log,
+	}
+	return &http.Server{
+		Addr: n.Settings.Callers, Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleCallers,
+		MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(n.Log),
+	}
+}
+
+// readiness answers the platform's probe.
+func (n *Node) readiness(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() || n.stock.View().Config == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// link gets the key of the fleet, serves other nodes, and registers this one.
+func (n *Node) link(ctx context.Context) {
+	key := n.retry(ctx, "peer_key", func() ([]byte, error) { return platform.PeerKey(ctx, &n.store) })
+	if key == nil {
+		return
+	}
+	m := &peer.Mesh{
+		Self: lease.Holder{Node: n.self.Name, Incarnation: n.self.Incarnation}, Key: key,
+		OnHello: func(a string, _ lease.Holder) { n.roster.Clear(a) },
+	}
+	peer.PlaceHandlers{
+		Ask:    n.home.ask,
+		Note:   func(x peer.Note) { n.home.note(x.ID, x.Server, x.End) },
+		Mirror: n.beliefs.newer,
+	}.Register(m)
+	if _, _, err := m.Serve(n.Settings.Peer); err != nil {
+		n.Log.Error("peer_listen_failed", zap.String("address", n.Settings.Peer), zap.Error(err))
+		return
+	}
+	n.mesh.Store(m)
+	n.retry(ctx, "register", func() ([]byte, error) { return []byte{}, platform.Register(ctx, &n.store, n.self) })
+	<-ctx.Done()
+}
+
+// retry calls f until it succeeds, and returns nil if the context ends before.
+func (n *Node) retry(ctx context.Context, what string, f func() ([]byte, error)) []byte {
+	for pause := retryMin; ctx.Err() == nil; pause = min(2*pause, retryMax) {
+		b, err := f()
+		if err == nil {
+			return b
+		}
+		n.Log.Warn(what+"_failed", zap.Error(err))
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+// tend closes idle connections and notes changes of the settings file.
+func (n *Node) tend(ctx context.Context, path string) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.pool.Sweep()
+		case <-hup:
+			n.reload(path)
+		}
+	}
+}
+
+// reload checks the settings file. Addresses and limits hold until the next start.
+func (n *Node) reload(path string) {
+	if _, err := platform.ReadSettings(path); err != nil {
+		n.Log.Error("reload_failed", zap.Error(err))
+		return
+	}
+	n.Log.Info("reloaded")
+}
--- /dev/null
+++ b/io/edge/home.go
@@ -0,0 +1,164 @@
+package edge
+
+// This file defines the home of a node: core/place under a lock, with the calls that it
+// wants done.
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotspring/core/place"
+	"bergamotspring/io/exchange"
+	"bergamotspring/platform"
+)
+
+const (
+	// homeTick is how often the home looks for requests that cannot be in time.
+	homeTick = 25 * time.Millisecond
+	// freeTimeout bounds the message that frees results.
+	freeTimeout = time.Second
+	// maxStageAnswer bounds the answer of a stage's server in bytes.
+	maxStageAnswer = 1 << 20
+)
+
+// home places requests for the nodes that take this one for the home of the region.
+// Its lock is a leaf; no lock is held during I/O or while an answer is delivered.
+type home struct {
+	pool *exchange.Pool
+	log  *zap.Logger
+	work sync.WaitGroup
+
+	mu      sync.Mutex
+	place   place.Home
+	waiting map[string]func(place.Answer)
+}
+
+// do runs f under the lock and then does what the home wants done.
+func (h *home) do(f func(*place.Home)) {
+	h.mu.Lock()
+	f(&h.place)
+	w := h.place.Take()
+	var deliver []func()
+	for _, a := range w.Answers {
+		if d := h.waiting[a.ID]; d != nil {
+			delete(h.waiting, a.ID)
+			deliver = append(deliver, func() { d(a) })
+		}
+	}
+	h.mu.Unlock()
+	for _, d := range deliver {
+		d()
+	}
+	for i := range w.Calls {
+		h.work.Go(func() { h.call(&w.Calls[i]) })
+	}
+	for i := range w.Frees {
+		h.work.Go(func() { h.free(&w.Frees[i]) })
+	}
+}
+
+// ask decides on an ask; answer is called once, from any goroutine, unless the ask is
+// withdrawn.
+func (h *home) ask(a place.Ask, answer func(place.Answer)) {
+	h.do(func(p *place.Home) {
+		if h.waiting == nil {
+			h.waiting = map[string]func(place.Answer){}
+		}
+		h.waiting[a.ID] = answer
+		p.Ask(a)
+	})
+}
+
+// note takes a report on a granted request, or a withdrawal if the server is empty.
+func (h *home) note(id, server string, e place.RunEnd) {
+	h.do(func(p *place.Home) {
+		if server == "" {
+			delete(h.waiting, id)
+			p.Withdraw(id)
+			return
+		}
+		p.Ran(id, server, e)
+	})
+}
+
+// run ticks until the context ends.
+func (h *home) run(ctx context.Context) {
+	t := time.NewTicker(homeTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			h.do((*place.Home).Tick)
+		}
+	}
+}
+
+// call carries one call to a server of a stage.
+func (h *home) call(c *place.Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	start := time.Now()
+	end, l, err := h.exchange(ctx, c)
+	if err != nil || end != place.CallDone {
+		h.log.Warn("stage_call_failed", zap.String("server", c.Server.ID), zap.String("service", c.Server.Service),
+			zap.Int("pieces", len(c.Pieces)), zap.Duration("took", time.Since(start)), zap.Uint8("end", uint8(end)), zap.Error(err))
+	}
+	h.do(func(p *place.Home) { p.Called(c.Number, end, l) })
+}
+
+func (h *home) exchange(ctx context.Context, c *place.Call) (place.CallEnd, []place.PieceResult, error) {
+	q, err := platform.StageCall(c)
+	if err != nil {
+		return place.CallBroken, nil, err
+	}
+	status, b, err := h.send(ctx, q)
+	var u *exchange.UnsentError
+	switch {
+	case errors.As(err, &u) && u.Refused:
+		return place.CallRefused, nil, err
+	case err != nil:
+		return place.CallBroken, nil, err
+	case status == http.StatusMisdirectedRequest:
+		return place.CallMoved, nil, nil
+	case status != http.StatusOK:
+		return place.CallRejected, nil, nil
+	}
+	l, err := platform.StageResults(b, len(c.Pieces))
+	if err != nil {
+		return place.CallBroken, nil, err
+	}
+	return place.CallDone, l, nil
+}
+
+func (h *home) send(ctx context.Context, q *exchange.Request) (int, []byte, error) {
+	r, err := h.pool.Do(ctx, q)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = r.Body.Close() }() // read to its end, or given up
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxStageAnswer))
+	return r.Status, b, err
+}
+
+// free tells a server which results are not needed any more.
+func (h *home) free(f *place.Free) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	q, err := platform.StageFree(f)
+	status := 0
+	if err == nil {
+		status, _, err = h.send(ctx, q)
+	}
+	if err != nil || status != http.StatusOK {
+		h.log.Warn("free_failed", zap.String("server", f.Server.ID), zap.Int("handles", len(f.Handles)), zap.Int("status", status), zap.Error(err))
+	}
+	h.do(func(p *place.Home) { p.Freed(f.Number, err == nil && status == http.StatusOK) })
+}
--- /dev/null
+++ b/io/edge/placing.go
@@ -0,0 +1,143 @@
+package edge
+
+// This file defines how a node finds the home that places its requests.
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotspring/core/place"
+	"bergamotspring/core/roster"
+	"bergamotspring/io/peer"
+)
+
+const (
+	// mostHomes bounds the homes that are asked for one request.
+	mostHomes = 3
+	// answerSlack is how long after the time limit a home's answer is waited for.
+	answerSlack = 200 * time.Millisecond
+)
+
+// placing asks homes for places. It remembers who placed each request, for the notes.
+type placing struct {
+	self   string // peer address of this node
+	region string
+	roster *roster.Roster
+	mesh   func() *peer.Mesh // nil until the key of the fleet is known
+	home   *home
+	log    *zap.Logger
+
+	mu     sync.Mutex
+	placed map[string]string // peer address of the home of each request in progress
+}
+
+// place asks for a place at the home of the region, or at its successor.
+func (p *placing) place(ctx context.Context, a place.Ask) (place.Answer, error) {
+	var err error
+	for _, n := range p.homes(a) {
+		var g place.Answer
+		if g, err = p.ask(ctx, n, a); err == nil || ctx.Err() != nil {
+			return g, err
+		}
+		p.roster.Suspect(n)
+		p.log.Warn("home_silent", zap.String("request", a.ID), zap.String("home", n), zap.Error(err))
+	}
+	return p.ask(ctx, p.self, a)
+}
+
+// homes returns the peer addresses of the homes to ask, before this node itself.
+func (p *placing) homes(a place.Ask) []string {
+	var l []string
+	for _, n := range p.roster.Homes(p.regionFor(a)) {
+		if n.Peer == p.self || len(l) == mostHomes {
+			break
+		}
+		l = append(l, n.Peer)
+	}
+	return l
+}
+
+// regionFor returns the region whose home places a request.
+func (p *placing) regionFor(a place.Ask) string {
+	for _, r := range a.Regions {
+		if r == p.region {
+			return r
+		}
+	}
+	for _, r := range a.Regions {
+		if len(p.roster.Homes(r)) > 0 {
+			return r
+		}
+	}
+	return p.region
+}
+
+// ask asks one home and waits for its answer.
+func (p *placing) ask(ctx context.Context, home string, a place.Ask) (place.Answer, error) {
+	type result struct {
+		answer place.Answer
+		err    error
+	}
+	c := make(chan result, 1)
+	p.remember(a.ID, home)
+	if home == p.self {
+		p.home.ask(a, func(g place.Answer) { c <- result{answer: g} })
+	} else {
+		m := p.mesh()
+		if m == nil {
+			return place.Answer{}, peer.ErrNoKey
+		}
+		err := m.PlaceRequest(home, a, a.Left+answerSlack, func(g place.Answer, err error) { c <- result{g, err} })
+		if err != nil {
+			return place.Answer{}, err
+		}
+	}
+	select {
+	case r := <-c:
+		if r.err == nil && !r.answer.Granted() {
+			p.forget(a.ID)
+		}
+		return r.answer, r.err
+	case <-ctx.Done():
+		p.note(a.ID, "", place.RunLeft)
+		return place.Answer{}, context.Cause(ctx)
+	}
+}
+
+// note tells the home of a request how it goes on.
+func (p *placing) note(id, server string, e place.RunEnd) {
+	p.mu.Lock()
+	home := p.placed[id]
+	p.mu.Unlock()
+	if e != place.RunStarted {
+		p.forget(id)
+	}
+	switch home {
+	case "":
+	case p.self:
+		p.home.note(id, server, e)
+	default:
+		if err := p.mesh().SendNote(home, peer.Note{ID: id, Server: server, End: e}); err != nil {
+			// The home forgets the request some time after its time limit.
+			p.log.Warn("note_lost", zap.String("request", id), zap.String("home", home), zap.Error(err))
+		}
+	}
+}
+
+func (p *placing) remember(id, home string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.placed == nil {
+		p.placed = map[string]string{}
+	}
+	p.placed[id] = home
+}
+
+func (p *placing) forget(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.placed, id)
+}
--- /dev/null
+++ b/io/exchange/pool.go
@@ -0,0 +1,194 @@
+package exchange
+
+// This file defines the connections that are kept for later exchanges.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds a connect; servers are at most two regions away.
+	dialTimeout = 700 * time.Millisecond
+	// silence is after which unacknowledged bytes end a connection.
+	silence = 2 * time.Second
+	// idleTime is how long a connection is kept unused. It is under the idle timeouts of servers.
+	idleTime = 4 * time.Second
+	// keptPerServer bounds the idle connections to one server.
+	keptPerServer = 16
+	readBuffer    = 4 << 10
+)
+
+// FullError reports that the connections to a server are all in use.
+type FullError struct {
+	Address string
+}
+
+func (e *FullError) Error() string {
+	return "exchange: all connections to " + e.Address + " are in use"
+}
+
+// Pool keeps connections to servers. The zero value is ready to use. It is safe for
+// concurrent use.
+type Pool struct {
+	// Dial opens connections; nil: TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Most returns the most connections to an address; nil or 0: no bound.
+	Most func(address string) int
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open map[string]int
+}
+
+// get returns a connection for a request. The newest idle one is taken, so that the
+// others time out.
+func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
+	for !r.NoReuse {
+		c := p.take(r.Address)
+		if c == nil {
+			break
+		}
+		if time.Since(c.idle) < idleTime && c.quiet() {
+			return c, nil
+		}
+		c.close()
+	}
+	return p.dial(ctx, r.Address)
+}
+
+func (p *Pool) take(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.idle[address]
+	if len(l) == 0 {
+		return nil
+	}
+	c := l[len(l)-1]
+	p.idle[address] = l[:len(l)-1]
+	return c
+}
+
+func (p *Pool) put(c *conn) {
+	c.idle = time.Now()
+	p.mu.Lock()
+	if p.idle == nil {
+		p.idle = map[string][]*conn{}
+	}
+	if len(p.idle[c.address]) < keptPerServer {
+		p.idle[c.address] = append(p.idle[c.address], c)
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	c.close()
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	if err := p.opening(address); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	d := p.Dial
+	if d == nil {
+		d = Dial
+	}
+	n, err := d(ctx, address)
+	if err != nil {
+		p.closed(address)
+		return nil, err
+	}
+	return &conn{Conn: n, pool: p, address: address, in: bufio.NewReaderSize(n, readBuffer)}, nil
+}
+
+func (p *Pool) opening(address string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open == nil {
+		p.open = map[string]int{}
+	}
+	if p.Most != nil {
+		if m := p.Most(address); m > 0 && p.open[address] >= m {
+			return &FullError{Address: address}
+		}
+	}
+	p.open[address]++
+	return nil
+}
+
+func (p *Pool) closed(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+// Sweep closes connections that were idle too long. It is to be called now and then.
+func (p *Pool) Sweep() {
+	var old []*conn
+	p.mu.Lock()
+	for a, l := range p.idle {
+		n := 0
+		for n < len(l) && time.Since(l[n].idle) >= idleTime {
+			n++
+		}
+		old = append(old, l[:n]...)
+		if p.idle[a] = append([]*conn(nil), l[n:]...); len(p.idle[a]) == 0 {
+			delete(p.idle, a)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.close()
+	}
+}
+
+// Dial opens a TCP connection on which silence of the other end is found in seconds.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var err error
+			e := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+			})
+			return errors.Join(e, err)
+		},
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// quiet reports whether an idle connection is open and has nothing to read.
+func (c *conn) quiet() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(e, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+func isRefused(err error) bool {
+	var s *os.SyscallError
+	return errors.As(err, &s) && errors.Is(s.Err, syscall.ECONNREFUSED)
+}
--- a/io/operator/command/app.go
+++ b/io/operator/command/app.go
@@ -51,7 +51,8 @@
 type App struct {
 	Out, Err io.Writer
 	Version  string
-	Node     func(context.Context, setting.Node) error // runs until the context ends, then drains
+	Node     func(context.Context, setting.Node) error        // runs until the context ends, then drains
+	Edge     func(ctx context.Context, settings string) error // runs a node on the users' platform, as Node
 	Demo     func(context.Context, io.Writer) error
 	Standins func(context.Context, io.Writer, Standins) error // runs until the context ends
 	Load     func(context.Context, Load) (*Report, error)
@@ -68,6 +69,7 @@
 	Output string `enum:"text,json" default:"text" short:"o" help:"Form of the result: text or json."`
 
 	Node     nodeCmd     `cmd:"" help:"Run a node."`
+	Edge     edgeCmd     `cmd:"" help:"Run a node on the users' platform."`
 	Check    checkCmd    `cmd:"" help:"Check a declaration and list all its faults."`
 	Diff     diffCmd     `cmd:"" help:"Show what a declaration would change, and the capacity after."`
 	Apply    applyCmd    `cmd:"" help:"Put a declaration in force and wait until all reachable nodes have it."`
--- a/io/operator/command/node.go
+++ b/io/operator/command/node.go
@@ -41,6 +41,25 @@
 	return a.serve(func(ctx context.Context) error { return a.Node(ctx, s) })
 }
 
+type edgeCmd struct {
+	Settings string `help:"Settings file, empty: where the platform places it."`
+}
+
+// Help is shown by --help.
+func (edgeCmd) Help() string {
+	return `Runs a node that takes its settings from the platform's settings file and its configuration from the platform's
+store. The first SIGTERM or SIGINT drains: the node becomes not ready, and ends when the running requests have ended or
+the platform's grace has passed. The second signal stops at once. SIGHUP checks the settings file.`
+}
+
+// Run runs a node until a signal.
+func (c *edgeCmd) Run(a *App) error {
+	if a.Edge == nil {
+		return errors.New("this build holds no node for the platform")
+	}
+	return a.serve(func(ctx context.Context) error { return a.Edge(ctx, c.Settings) })
+}
+
 type demoCmd struct{}
 
 // Help is shown by --help.
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -5,7 +5,7 @@
 import "fmt"
 
 // Protocol is the version that both ends of a link must have.
-const Protocol = 1
+const Protocol = 2
 
 // Type is the type of a message, as sent.
 type Type uint8
@@ -39,6 +39,11 @@
 	TypeStateQuery
 	TypeState
 	TypeNames
+	TypePlaceAsk
+	TypePlaceAnswer
+	TypePlaceNote
+	TypeMirrorAsk
+	TypeMirror
 
 	typeEnd // above all types
 )
--- /dev/null
+++ b/io/peer/place.go
@@ -0,0 +1,130 @@
+package peer
+
+// This file carries what nodes on the users' platform say to each other: asks for
+// places, and the mirror of the platform's store.
+
+import (
+	"context"
+	"time"
+
+	"bergamotspring/core/place"
+	"bergamotspring/core/relay"
+	"bergamotspring/core/store"
+	"bergamotspring/schema/wire"
+)
+
+// Note tells a home about a request that it placed. An empty Server withdraws an ask.
+type Note struct {
+	ID     string
+	Server string
+	End    place.RunEnd
+}
+
+// MirrorTable holds all rows of a table of the store, as a node last read it. Rows may
+// be missing in an ask.
+type MirrorTable struct {
+	Table   string
+	Version uint64
+	Rows    []store.Row
+}
+
+// PlaceHandlers answers other nodes on the users' platform. All fields must be set.
+type PlaceHandlers struct {
+	// Ask decides on an ask. The answer may come later, from any goroutine.
+	Ask func(a place.Ask, answer func(place.Answer))
+	// Note takes a report on a granted request, or the withdrawal of an ask.
+	Note func(Note)
+	// Mirror returns the tables of the store that are newer than those given.
+	Mirror func(have []MirrorTable) []MirrorTable
+}
+
+// Register sets the handlers of m. It must be called before Serve.
+func (h PlaceHandlers) Register(m *Mesh) {
+	handle(m, TypePlaceAsk, true, func(r *Request, b wire.PlaceAsk) {
+		h.Ask(placeAskOf(b), func(a place.Answer) { reply(r, TypePlaceAnswer, wirePlaceAnswer(a)) })
+	})
+	handle(m, TypePlaceNote, true, func(_ *Request, b wire.PlaceNote) {
+		h.Note(Note{ID: b.Id, Server: b.Server, End: place.RunEnd(b.End)})
+	})
+	handle(m, TypeMirrorAsk, true, func(r *Request, b wire.MirrorAsk) {
+		have := each(b.Tables, func(t wire.MirrorHave) MirrorTable {
+			return MirrorTable{Table: t.Table, Version: uint64(t.Version)}
+		})
+		reply(r, TypeMirror, &wire.Mirror{Tables: each(h.Mirror(have), wireMirrorTable)})
+	})
+}
+
+// PlaceRequest sends an ask to the home at an address. Done gets the answer exactly
+// once, unless PlaceRequest returns an error: then nothing was sent.
+func (m *Mesh) PlaceRequest(to string, a place.Ask, expire time.Duration, done func(place.Answer, error)) error {
+	return m.Start(to, TypePlaceAsk, wirePlaceAsk(a), expire, func(r Reply, err error) {
+		var w wire.PlaceAnswer
+		if err == nil {
+			err = r.decodeAs(TypePlaceAnswer, &w)
+		}
+		done(placeAnswerOf(w), err)
+	})
+}
+
+// SendNote sends a note to the home at an address; it may be lost without an error.
+func (m *Mesh) SendNote(to string, n Note) error {
+	return m.Send(to, TypePlaceNote, &wire.PlaceNote{Id: n.ID, Server: n.Server, End: int(n.End)})
+}
+
+// FetchMirror asks the node at an address for tables that are newer than those given.
+func (m *Mesh) FetchMirror(ctx context.Context, to string, have []MirrorTable) ([]MirrorTable, error) {
+	q := &wire.MirrorAsk{Tables: each(have, func(t MirrorTable) wire.MirrorHave {
+		return wire.MirrorHave{Table: t.Table, Version: int(t.Version)}
+	})}
+	var w wire.Mirror
+	err := m.Call(ctx, to, TypeMirrorAsk, q, TypeMirror, &w)
+	return each(w.Tables, mirrorTableOf), err
+}
+
+func wireMirrorTable(t MirrorTable) wire.MirrorTable {
+	return wire.MirrorTable{Table: t.Table, Version: int(t.Version), Rows: each(t.Rows, func(r store.Row) wire.MirrorRow {
+		return wire.MirrorRow{Key: r.Key, Version: int(r.Version), Value: string(r.Value)}
+	})}
+}
+
+func mirrorTableOf(t wire.MirrorTable) MirrorTable {
+	return MirrorTable{Table: t.Table, Version: uint64(t.Version), Rows: each(t.Rows, func(r wire.MirrorRow) store.Row {
+		return store.Row{Key: r.Key, Version: uint64(r.Version), Value: []byte(r.Value)}
+	})}
+}
+
+func wirePlaceAsk(a place.Ask) *wire.PlaceAsk {
+	return &wire.PlaceAsk{
+		Id: a.ID, Service: a.Service, Key: a.Key, Group: int(a.Group), Tokens: a.Tokens, Rank: a.Rank,
+		Goal: micros(a.Goal), Left: micros(a.Left), Regions: a.Regions, Avoid: a.Avoid, Again: a.Again,
+		Stages: each(a.Stages, func(s place.StageAsk) wire.PlaceStage {
+			return wire.PlaceStage{Service: s.Service, After: s.After, ResultBytes: int(s.ResultBytes), Pieces: s.Pieces}
+		}),
+	}
+}
+
+func placeAskOf(w wire.PlaceAsk) place.Ask {
+	return place.Ask{
+		ID: w.Id, Service: w.Service, Key: w.Key, Group: uint64(w.Group), Tokens: w.Tokens, Rank: w.Rank,
+		Goal: duration(w.Goal), Left: duration(w.Left), Regions: w.Regions, Avoid: w.Avoid, Again: w.Again,
+		Stages: each(w.Stages, func(s wire.PlaceStage) place.StageAsk {
+			return place.StageAsk{Service: s.Service, After: s.After, ResultBytes: int64(s.ResultBytes), Pieces: s.Pieces}
+		}),
+	}
+}
+
+func wirePlaceAnswer(a place.Answer) *wire.PlaceAnswer {
+	s := a.Server
+	return &wire.PlaceAnswer{
+		Id: a.ID, Server: s.ID, Address: s.Address, Domain: s.Domain, Region: s.Region, Service: s.Service,
+		Inputs: a.Inputs, Reason: a.Reason, RetryAfter: micros(a.RetryAfter),
+	}
+}
+
+func placeAnswerOf(w wire.PlaceAnswer) place.Answer {
+	return place.Answer{
+		ID:     w.Id,
+		Server: relay.Server{ID: w.Server, Address: w.Address, Domain: w.Domain, Region: w.Region, Service: w.Service},
+		Inputs: w.Inputs, Reason: w.Reason, RetryAfter: duration(w.RetryAfter),
+	}
+}
--- /dev/null
+++ b/io/relay/generate.go
@@ -0,0 +1,187 @@
+package relay
+
+// This file defines model requests: the home places them, the node sends them and
+// relays the stream of events, resuming it elsewhere where that is allowed.
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotspring/core/place"
+	"bergamotspring/core/relay"
+)
+
+const (
+	// mostPlaces bounds the model servers that one request is sent to.
+	mostPlaces = 4
+	// resumeReserve is the least time left for which a stream is resumed.
+	resumeReserve = 500 * time.Millisecond
+)
+
+// generate serves a request of a model service.
+func (q *request) generate(ctx context.Context) {
+	a := q.ask()
+	out := &stream{request: q, last: q.meta.LastEvent}
+	runs := 0
+	for n := 0; n < mostPlaces; n++ {
+		a.Left, a.Goal = q.left(), q.route.Goal-time.Since(q.arrived)
+		g, err := q.server.Place(ctx, a)
+		if ctx.Err() != nil {
+			q.ended(ctx)
+			return
+		}
+		if err != nil || !g.Granted() {
+			q.fail(refusal(g, err), max(g.RetryAfter, retryBusy))
+			return
+		}
+		e := q.run(ctx, out, &g)
+		if ctx.Err() != nil {
+			q.ended(ctx)
+			return
+		}
+		if e == runEnded {
+			return
+		}
+		if e != runNot {
+			runs++
+			q.mayRun = true
+		}
+		if e == runBroken && !(q.route.Resumable && runs < q.route.Attempts && q.left() > resumeReserve) {
+			break
+		}
+		if e != runUnsent && !q.server.Repeat(q.service) {
+			break
+		}
+		if e != runNot || !slices.Contains(a.Avoid, g.Server.ID) {
+			a.Avoid = append(a.Avoid, g.Server.ID)
+		}
+		a.Again = true
+	}
+	q.fail("model servers failed", retryBusy)
+}
+
+func refusal(g place.Answer, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return g.Reason
+}
+
+// ask returns what the home is asked.
+func (q *request) ask() place.Ask {
+	a := place.Ask{
+		ID: q.meta.ID, Service: q.service, Key: q.meta.PieceKey, Group: q.meta.Group, Tokens: q.meta.Tokens,
+		Rank: relay.Rank(q.route, q.org),
+	}
+	a.Regions = allowedRegions(q.route, q.org)
+	for i, s := range q.route.Stages {
+		n := 0
+		if i < len(q.meta.Pieces) {
+			n = q.meta.Pieces[i]
+		}
+		a.Stages = append(a.Stages, place.StageAsk{Service: s.Service, After: s.After, ResultBytes: s.ResultBytes, Pieces: n})
+	}
+	return a
+}
+
+// allowedRegions returns the regions that may serve a request, none if all may. Where
+// route and organisation have some, both bind.
+func allowedRegions(r *relay.Route, o *relay.Organisation) []string {
+	if o == nil || len(o.Regions) == 0 {
+		return r.Regions
+	}
+	if len(r.Regions) == 0 {
+		return o.Regions
+	}
+	l := []string{""} // names no region: none may serve it
+	for _, x := range r.Regions {
+		if slices.Contains(o.Regions, x) {
+			l = append(l, x)
+		}
+	}
+	return l
+}
+
+// runEnd says how a run at a model server ended for the caller.
+type runEnd uint8
+
+const (
+	runEnded  runEnd = iota // the caller has the whole answer
+	runUnsent               // nothing arrived at the server
+	runNot                  // the server did not run it
+	runBroken               // it may have run in part
+)
+
+// run sends the request to a model server and relays its stream.
+func (q *request) run(ctx context.Context, out *stream, g *place.Answer) runEnd {
+	s := q.server
+	x := Send{
+		Server: g.Server.ID, Organisation: q.organisation(), Left: q.left(), Model: true,
+		Rank: relay.Rank(q.route, q.org), Inputs: g.Inputs, LastEvent: out.last,
+	}
+	a := q.send(ctx, &g.Server, x)
+	defer a.close()
+	switch {
+	case ctx.Err() != nil:
+		s.Ran(q.meta.ID, g.Server.ID, place.RunLeft)
+		return runBroken
+	case a.err != nil:
+		s.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+		q.log("send_failed", zap.String("server", g.Server.ID), zap.Bool("not_run", a.notRun), zap.Error(a.err))
+		if a.notRun {
+			return runUnsent
+		}
+		return runBroken
+	case a.notRun:
+		s.Ran(q.meta.ID, g.Server.ID, place.RunRejected)
+		q.log("not_run", zap.String("server", g.Server.ID), zap.Int("status", a.response.Status))
+		return runNot
+	case a.response.Status != http.StatusOK || !q.route.Streamed:
+		return q.whole(a, g)
+	}
+	return q.relay(ctx, out, a, g)
+}
+
+// whole passes an answer on that is no stream of events.
+func (q *request) whole(a *attempt, g *place.Answer) runEnd {
+	if q.started {
+		q.server.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+		return runBroken
+	}
+	a.read()
+	if a.err != nil {
+		q.server.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+		return runBroken
+	}
+	q.server.Ran(q.meta.ID, g.Server.ID, place.RunDone)
+	q.pass(a)
+	return runEnded
+}
+
+// relay relays a stream of events until it ends or breaks.
+func (q *request) relay(ctx context.Context, out *stream, a *attempt, g *place.Answer) runEnd {
+	s := q.server
+	err := out.copy(a.response, func() { s.Ran(q.meta.ID, g.Server.ID, place.RunStarted) })
+	if err == nil {
+		s.Ran(q.meta.ID, g.Server.ID, place.RunDone)
+		q.log("streamed", zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Duration("first_event", out.first.Sub(q.arrived)))
+		return runEnded
+	}
+	var w *callerError
+	if errors.As(err, &w) || ctx.Err() != nil {
+		s.Ran(q.meta.ID, g.Server.ID, place.RunLeft)
+		if ctx.Err() == nil {
+			q.log("caller_left")
+			panic(http.ErrAbortHandler)
+		}
+		return runBroken
+	}
+	s.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+	q.log("stream_broken", zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Error(err))
+	return runBroken
+}
--- /dev/null
+++ b/io/relay/relay.go
@@ -0,0 +1,133 @@
+// Package relay serves callers whose requests are passed on to backend servers as they
+// are: it reads a request, finds its route, sends it to a server, and ends it in one
+// outcome that is true.
+//
+// A request that must not run twice is sent again only after a server stated that it
+// did not run it, or when no byte of it was written. This file defines the server
+// and what it needs from outside.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotspring/core/place"
+	"bergamotspring/core/relay"
+	"bergamotspring/io/exchange"
+)
+
+// Meta is what a caller says about its request in headers.
+type Meta struct {
+	ID        string
+	Key       string        // proves the organisation
+	Left      time.Duration // how long the caller will wait, if Bounded
+	Bounded   bool
+	Tokens    int    // of the prompt and, at most, of the answer
+	Group     uint64 // fingerprint of the shared prompt parts, 0: none
+	Pieces    []int  // of each stage
+	PieceKey  string
+	LastEvent string // id of the last event that the caller has
+}
+
+// Send is what a server is told beside the caller's own headers.
+type Send struct {
+	Server       string // id of the only server that may run it
+	Organisation string
+	Left         time.Duration
+	Model        bool // it goes to a model server, and Rank and Inputs hold
+	Rank         int
+	Inputs       []string
+	LastEvent    string
+}
+
+// Protocol translates headers. All fields must be set.
+type Protocol struct {
+	Echo     string // header with the request id, which servers repeat
+	Read     func(http.Header) Meta
+	Write    func(from http.Header, s Send) http.Header
+	NotRun   func(status int, h http.Header) bool
+	Answer   func(from http.Header) http.Header
+	ColdLeft func(http.Header) time.Duration
+}
+
+// Server answers callers. All fields but Balance must be set.
+type Server struct {
+	Protocol *Protocol
+	View     func() *relay.View
+	Region   string
+	Domain   string
+	Pool     *exchange.Pool
+	// Place asks the home for a place.
+	Place func(ctx context.Context, a place.Ask) (place.Answer, error)
+	// Ran reports to the home how a granted request goes on.
+	Ran func(id, server string, end place.RunEnd)
+	// First counts a request for a service, Repeat takes the right to send one to
+	// a second server.
+	First  func(service string)
+	Repeat func(service string) bool
+	// Stopping reports whether connections should not be kept.
+	Stopping func() bool
+	Log      *zap.Logger
+	Balance  relay.Balance
+}
+
+// request is a caller's request on its way to one outcome.
+type request struct {
+	server  *Server
+	meta    Meta
+	route   *relay.Route
+	org     *relay.Organisation
+	service string
+	method  string
+	target  string
+	host    string
+	header  http.Header
+	body    []byte
+	arrived time.Time
+	limit   time.Time // final answer due
+	out     http.ResponseWriter
+
+	sends   int  // that a server can have read
+	mayRun  bool // a server may have run it
+	started bool // the head of the answer was written
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := &request{server: s, arrived: time.Now(), out: w, method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header}
+	if s.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	if !q.read(r) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.limit)
+	defer cancel()
+	s.First(q.service)
+	if v := s.View(); v.Config.Services[q.service] != nil && v.Config.Services[q.service].Engine != nil {
+		q.generate(ctx)
+		return
+	}
+	q.call(ctx)
+}
+
+func (q *request) organisation() string {
+	if q.org == nil {
+		return ""
+	}
+	return q.org.Name
+}
+
+// left returns the time until the answer is due.
+func (q *request) left() time.Duration { return time.Until(q.limit) }
+
+// log writes the decision that ended a request.
+func (q *request) log(event string, fields ...zap.Field) {
+	q.server.Log.Info(event, append([]zap.Field{
+		zap.String("request", q.meta.ID), zap.String("route", q.route.Name), zap.String("service", q.service),
+		zap.Duration("after", time.Since(q.arrived)), zap.Int("sends", q.sends),
+	}, fields...)...)
+}
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -331,6 +331,51 @@
 // version.
 type MessagesSchemaJson map[string]interface{}
 
+// Tables that are newer than the asking node's.
+type Mirror struct {
+	// Tables corresponds to the JSON schema field "tables".
+	Tables []MirrorTable `msgpack:"tables"`
+}
+
+// Asks a node for what it last read in the platform's store.
+type MirrorAsk struct {
+	// Tables corresponds to the JSON schema field "tables".
+	Tables []MirrorHave `msgpack:"tables"`
+}
+
+// What the asking node knows of a table.
+type MirrorHave struct {
+	// Table corresponds to the JSON schema field "table".
+	Table string `msgpack:"table"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `msgpack:"version"`
+}
+
+// A row of a table.
+type MirrorRow struct {
+	// Key corresponds to the JSON schema field "key".
+	Key string `msgpack:"key"`
+
+	// Raw bytes.
+	Value string `msgpack:"value"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `msgpack:"version"`
+}
+
+// All rows of a table.
+type MirrorTable struct {
+	// Rows corresponds to the JSON schema field "rows".
+	Rows []MirrorRow `msgpack:"rows"`
+
+	// Table corresponds to the JSON schema field "table".
+	Table string `msgpack:"table"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `msgpack:"version"`
+}
+
 // Numbers names for the sender's later messages on the link.
 type Names struct {
 	// Number of the first name. 1 starts over.
@@ -346,6 +391,102 @@
 	Sent int `msgpack:"sent"`
 }
 
+// Grants a model server, or refuses if the server is empty.
+type PlaceAnswer struct {
+	// IP:port.
+	Address string `msgpack:"address"`
+
+	// Domain corresponds to the JSON schema field "domain".
+	Domain string `msgpack:"domain"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `msgpack:"id"`
+
+	// Handles of results.
+	Inputs []string `msgpack:"inputs"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `msgpack:"reason"`
+
+	// Region corresponds to the JSON schema field "region".
+	Region string `msgpack:"region"`
+
+	// In microseconds.
+	RetryAfter int `msgpack:"retry_after"`
+
+	// Server corresponds to the JSON schema field "server".
+	Server string `msgpack:"server"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `msgpack:"service"`
+}
+
+// Asks the home of a region to place a model request.
+type PlaceAsk struct {
+	// Its pieces were made before.
+	Again bool `msgpack:"again"`
+
+	// Servers that do not take it.
+	Avoid []string `msgpack:"avoid"`
+
+	// Time to the first event that earns full credit, in microseconds.
+	Goal int `msgpack:"goal"`
+
+	// Fingerprint of the shared prompt parts.
+	Group int `msgpack:"group"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `msgpack:"id"`
+
+	// What pieces without inputs are made from.
+	Key string `msgpack:"key"`
+
+	// Time left in microseconds.
+	Left int `msgpack:"left"`
+
+	// 0 is the most urgent.
+	Rank int `msgpack:"rank"`
+
+	// The only ones that may serve it; empty: all.
+	Regions []string `msgpack:"regions"`
+
+	// Service of model servers.
+	Service string `msgpack:"service"`
+
+	// Stages corresponds to the JSON schema field "stages".
+	Stages []PlaceStage `msgpack:"stages"`
+
+	// Prompt and answer.
+	Tokens int `msgpack:"tokens"`
+}
+
+// Tells the home how a granted request goes on, or that nobody waits for an ask.
+type PlaceNote struct {
+	// End corresponds to the JSON schema field "end".
+	End int `msgpack:"end"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `msgpack:"id"`
+
+	// Empty: the ask is withdrawn.
+	Server string `msgpack:"server"`
+}
+
+// One stage of a model request.
+type PlaceStage struct {
+	// Stages whose results it needs.
+	After []int `msgpack:"after"`
+
+	// Pieces corresponds to the JSON schema field "pieces".
+	Pieces int `msgpack:"pieces"`
+
+	// Approximate size of one result.
+	ResultBytes int `msgpack:"result_bytes"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `msgpack:"service"`
+}
+
 // Groups that the deputy will not take over for the term.
 type Promise struct {
 	// Deputy corresponds to the JSON schema field "deputy".
