Keep serving while a stopping node's listener is closed

Cause: net/http's Serve returns as soon as Shutdown begins, which ended the run group and with it the requests in progress, 3.04 s after SIGTERM. Ruled out: the grace (8 s).

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -114,9 +114,9 @@
 	g.Add(func() error { n.home.run(work); return nil }, func(error) { end() })
 	g.Add(func() error { n.link(work); return nil }, func(error) { end() })
 	g.Add(func() error { n.tend(work, path); return nil }, func(error) { end() })
-	g.Add(func() error { return serve(callers) }, func(error) { _ = callers.Close() })
+	g.Add(func() error { return serve(work, callers) }, func(error) { _ = callers.Close() })
 	probe := &http.Server{Addr: n.Settings.Readiness, Handler: http.HandlerFunc(n.readiness), ReadHeaderTimeout: headerTimeout}
-	g.Add(func() error { return serve(probe) }, func(error) { _ = probe.Close() })
+	g.Add(func() error { return serve(work, probe) }, func(error) { _ = probe.Close() })
 	err := g.Run()
 	if m := n.mesh.Load(); m != nil {
 		m.Close()
@@ -125,7 +125,9 @@
 	return err
 }
 
-func serve(s *http.Server) error {
+// serve serves until the context ends. A server that is being shut down stops accepting
+// at once, but its requests run on until the context ends.
+func serve(ctx context.Context, s *http.Server) error {
 	l, err := net.Listen("tcp", s.Addr)
 	if err != nil {
 		return err
@@ -133,6 +135,7 @@
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	<-ctx.Done()
 	return nil
 }
 
