Ask a stage's server for its room at first sight; notice servers that ended

Frees now back off, results lapse when their server drops them, and a refused connection forgets the results of a server.

--- a/core/place/home.go
+++ b/core/place/home.go
@@ -39,6 +39,7 @@
 	engines map[string]*engine
 	calls   map[uint64]*call
 	frees   map[uint64]*freeing
+	looks   map[uint64]*maker
 	number  uint64
 	work    Work
 }
@@ -117,6 +118,7 @@
 		h.engines = map[string]*engine{}
 		h.calls = map[uint64]*call{}
 		h.frees = map[uint64]*freeing{}
+		h.looks = map[uint64]*maker{}
 	}
 }
 
@@ -152,7 +154,7 @@
 	for _, p := range s.pieces {
 		h.pool(s.ask.Service).remove(p)
 		if p.handle != "" {
-			p.maker.drop(p.handle, s.ask.ResultBytes)
+			p.maker.drop(p.handle, s.ask.ResultBytes, h.Now())
 		}
 	}
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -83,14 +83,31 @@
 	Handles []string
 }
 
-// Work is what the home wants done: calls and frees are sent at once and reported
-// by Called and Freed; answers go to the nodes.
+// Look asks a server how much room for results it has.
+type Look struct {
+	Number uint64
+	Server relay.Server
+}
+
+// Work is what the home wants done: calls, frees and looks are sent at once and reported
+// by Called, Freed and Looked; answers go to the nodes.
 type Work struct {
 	Answers []Answer
 	Calls   []Call
 	Frees   []Free
+	Looks   []Look
 }
 
+// FreeEnd says how a Free ended.
+type FreeEnd uint8
+
+// The ends of a Free.
+const (
+	FreeDone    FreeEnd = iota
+	FreeRefused         // no process listens at the address
+	FreeFailed          // not known whether it was done
+)
+
 // CallEnd says how a call ended.
 type CallEnd uint8
 
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -42,15 +42,25 @@
 	server   *relay.Server
 	calls    int   // in progress
 	reserved int64 // bytes of results, made or in the making
-	freeable []string
-	freed    map[string]int64 // bytes of each handle to free or being freed
+	freeable []result
+	freeing  bool      // a free is on its way
+	freeAt   time.Time // no free before
+	others   int64     // bytes of results that this home does not know of
+	othersTo time.Time // when the last of those has lapsed
+	looking  bool      // it was asked for its room
 	until    time.Time
 	backoff  time.Duration
 	pace     float64 // time of its calls relative to the expected, 0: not seen
-	freeing  bool    // a free is on its way
 	dead     bool    // its results are lost
 }
 
+// result is a result that is not needed any more.
+type result struct {
+	handle string
+	bytes  int64
+	since  time.Time
+}
+
 // call is a call in progress.
 type call struct {
 	maker    *maker
@@ -63,7 +73,7 @@
 // freeing is a release of results in progress.
 type freeing struct {
 	maker   *maker
-	handles []string
+	results []result
 }
 
 func (h *Home) pool(service string) *pool {
@@ -113,18 +123,6 @@
 	}
 }
 
-// drop queues a handle to be freed. Its room counts until the server confirms.
-func (m *maker) drop(handle string, bytes int64) {
-	if m.dead {
-		return
-	}
-	if m.freed == nil {
-		m.freed = map[string]int64{}
-	}
-	m.freeable = append(m.freeable, handle)
-	m.freed[handle] = bytes
-}
-
 // slowness orders servers by their pace; one not seen yet counts as usual.
 func (m *maker) slowness() float64 {
 	if m.pace == 0 {
@@ -138,7 +136,7 @@
 	now := h.Now()
 	var l []*maker
 	for _, m := range h.makers(q) {
-		if m.calls < w.Calls && !now.Before(m.until) {
+		if m.calls < w.Calls && !m.looking && !now.Before(m.until) {
 			l = append(l, m)
 		}
 	}
@@ -155,8 +153,9 @@
 	for _, s := range h.View().Servers[q.service] {
 		m := q.makers[s.ID]
 		if m == nil {
-			m = &maker{}
+			m = &maker{server: s}
 			q.makers[s.ID] = m
+			h.look(m)
 		}
 		m.server = s
 		if s.Region == h.Region {
@@ -210,7 +209,7 @@
 	}
 	slices.SortStableFunc(l, func(a, b entry) int { return a.order.compare(b.order) })
 	var taken []*piece
-	room := w.RoomBytes - m.reserved
+	room := m.room(w, now)
 	for _, e := range l {
 		b := e.p.stage.ask.ResultBytes
 		if len(taken) == w.Batch || b > room {
@@ -308,20 +307,25 @@
 	case CallRejected:
 		m.until = now.Add(fullPause)
 	case CallMoved, CallRefused, CallBroken:
-		m.backoff = min(max(2*m.backoff, makerBackoff), makerBackoffMax)
-		m.until = now.Add(m.backoff)
+		h.pause(m)
 		if end != CallBroken { // one broken connection does not tell that the process ended
 			h.lose(c.pool, m)
 		}
 	}
 }
 
+// pause leaves a server alone for a while that doubles each time.
+func (h *Home) pause(m *maker) {
+	m.backoff = min(max(2*m.backoff, makerBackoff), makerBackoffMax)
+	m.until = h.Now().Add(m.backoff)
+}
+
 // made takes the result of one piece of a call.
 func (h *Home) made(c *call, p *piece, r PieceResult, counted bool) {
 	m, bytes := c.maker, p.stage.ask.ResultBytes
 	alive := h.jobs[p.job.ask.ID] == p.job && !p.stage.released
 	if r.End == PieceMade && !alive {
-		m.drop(r.Handle, bytes)
+		m.drop(r.Handle, bytes, h.Now())
 		return
 	}
 	if r.End == PieceMade {
@@ -401,41 +405,3 @@
 		}
 	}
 }
-
-// free sends what can be freed, one message to a server at a time.
-func (h *Home) free() {
-	for _, q := range h.sorted() {
-		for _, id := range slices.Sorted(maps.Keys(q.makers)) {
-			m := q.makers[id]
-			if m.freeing || len(m.freeable) == 0 {
-				continue
-			}
-			h.number++
-			h.frees[h.number] = &freeing{maker: m, handles: m.freeable}
-			h.work.Frees = append(h.work.Frees, Free{Number: h.number, Server: *m.server, Handles: m.freeable})
-			m.freeable, m.freeing = nil, true
-		}
-	}
-}
-
-// Freed takes the end of a Free. If it failed, the results stay until the server
-// drops them by itself; their room counts until they are freed by a later message.
-func (h *Home) Freed(number uint64, ok bool) {
-	h.init()
-	f := h.frees[number]
-	if f == nil {
-		return
-	}
-	delete(h.frees, number)
-	f.maker.freeing = false
-	if ok {
-		for _, x := range f.handles {
-			f.maker.reserved -= f.maker.freed[x]
-			delete(f.maker.freed, x)
-		}
-	} else if !f.maker.dead {
-		f.maker.freeable = append(f.maker.freeable, f.handles...)
-		f.maker.until = h.Now().Add(fullPause)
-	}
-	h.dispatch()
-}
--- /dev/null
+++ b/core/place/room.go
@@ -0,0 +1,139 @@
+package place
+
+// This file defines the room for results at a server: what this home has reserved, what
+// others hold there, and how room is freed.
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bergamotspring/core/relay"
+)
+
+const (
+	// freePause is the pause after a server did not confirm a free.
+	freePause = 200 * time.Millisecond
+	// mostHandles bounds the results that one message frees.
+	mostHandles = 200
+)
+
+// room returns the bytes that new results may take at a server.
+func (m *maker) room(w *relay.PieceWork, now time.Time) int64 {
+	n := w.RoomBytes - m.reserved
+	if now.Before(m.othersTo) {
+		n -= m.others
+	}
+	return n
+}
+
+// drop queues a handle to be freed. Its room counts until the server confirms.
+func (m *maker) drop(handle string, bytes int64, now time.Time) {
+	if !m.dead {
+		m.freeable = append(m.freeable, result{handle: handle, bytes: bytes, since: now})
+	}
+}
+
+// free sends what can be freed, one message to a server at a time.
+func (h *Home) free() {
+	now := h.Now()
+	for _, q := range h.sorted() {
+		for _, id := range slices.Sorted(maps.Keys(q.makers)) {
+			m := q.makers[id]
+			h.lapse(q, m, now)
+			if m.freeing || len(m.freeable) == 0 || now.Before(m.freeAt) {
+				continue
+			}
+			n := min(len(m.freeable), mostHandles)
+			f := &freeing{maker: m, results: slices.Clone(m.freeable[:n])}
+			m.freeable = m.freeable[n:]
+			m.freeing = true
+			h.number++
+			h.frees[h.number] = f
+			h.work.Frees = append(h.work.Frees, Free{Number: h.number, Server: *m.server, Handles: f.handles()})
+		}
+	}
+}
+
+func (f *freeing) handles() []string {
+	l := make([]string, 0, len(f.results))
+	for _, r := range f.results {
+		l = append(l, r.handle)
+	}
+	return l
+}
+
+// lapse forgets results that their server has dropped by itself.
+func (h *Home) lapse(q *pool, m *maker, now time.Time) {
+	s := h.View().Config.Services[q.service]
+	if s == nil || s.Pieces == nil || s.Pieces.Keep <= 0 {
+		return
+	}
+	for len(m.freeable) > 0 && now.Sub(m.freeable[0].since) > s.Pieces.Keep {
+		m.reserved -= m.freeable[0].bytes
+		m.freeable = m.freeable[1:]
+	}
+}
+
+// Freed takes the end of a Free.
+func (h *Home) Freed(number uint64, end FreeEnd) {
+	h.init()
+	f := h.frees[number]
+	if f == nil {
+		return
+	}
+	delete(h.frees, number)
+	m := f.maker
+	m.freeing = false
+	switch {
+	case m.dead:
+	case end == FreeDone:
+		for _, r := range f.results {
+			m.reserved -= r.bytes
+		}
+	case end == FreeRefused:
+		h.ended(m)
+	default:
+		m.freeable = append(f.results, m.freeable...)
+		m.freeAt = h.Now().Add(freePause)
+	}
+	h.dispatch()
+}
+
+// ended notes that the process of a server has ended.
+func (h *Home) ended(m *maker) {
+	for _, q := range h.sorted() {
+		if q.makers[m.server.ID] == m {
+			h.pause(m)
+			h.lose(q, m)
+		}
+	}
+}
+
+// look asks a server for its room, for what others have made there.
+func (h *Home) look(m *maker) {
+	if m.looking {
+		return
+	}
+	m.looking = true
+	h.number++
+	h.looks[h.number] = m
+	h.work.Looks = append(h.work.Looks, Look{Number: h.number, Server: *m.server})
+}
+
+// Looked takes the answer to a Look: the bytes that may be free, if it was answered.
+func (h *Home) Looked(number uint64, free int64, answered bool) {
+	h.init()
+	m := h.looks[number]
+	if m == nil {
+		return
+	}
+	delete(h.looks, number)
+	m.looking = false
+	s := h.View().Config.Services[m.server.Service]
+	if answered && s != nil && s.Pieces != nil {
+		m.others = max(0, s.Pieces.RoomBytes-free-m.reserved)
+		m.othersTo = h.Now().Add(s.Pieces.Keep)
+	}
+	h.dispatch()
+}
--- a/io/edge/home.go
+++ b/io/edge/home.go
@@ -23,6 +23,8 @@
 	homeTick = 25 * time.Millisecond
 	// freeTimeout bounds the message that frees results.
 	freeTimeout = time.Second
+	// lookTimeout bounds the question for room, during which a server gets no call.
+	lookTimeout = 300 * time.Millisecond
 	// maxStageAnswer bounds the answer of a stage's server in bytes.
 	maxStageAnswer = 1 << 20
 )
@@ -61,6 +63,9 @@
 	for i := range w.Frees {
 		h.work.Go(func() { h.free(&w.Frees[i]) })
 	}
+	for i := range w.Looks {
+		h.work.Go(func() { h.look(&w.Looks[i]) })
+	}
 }
 
 // ask decides on an ask; answer is called once, from any goroutine, unless the ask is
@@ -157,8 +162,29 @@
 	if err == nil {
 		status, _, err = h.send(ctx, q)
 	}
-	if err != nil || status != http.StatusOK {
+	end := place.FreeDone
+	if u, ok := errors.AsType[*exchange.UnsentError](err); ok && u.Refused || status == http.StatusMisdirectedRequest {
+		end = place.FreeRefused
+	} else if err != nil || status != http.StatusOK {
+		end = place.FreeFailed
+	}
+	if end != place.FreeDone {
 		h.log.Warn("free_failed", zap.String("server", f.Server.ID), zap.Int("handles", len(f.Handles)), zap.Int("status", status), zap.Error(err))
 	}
-	h.do(func(p *place.Home) { p.Freed(f.Number, err == nil && status == http.StatusOK) })
+	h.do(func(p *place.Home) { p.Freed(f.Number, end) })
+}
+
+// look asks a server how much room it has.
+func (h *home) look(l *place.Look) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	free := int64(0)
+	status, b, err := h.send(ctx, platform.StageLook(l))
+	if err == nil && status == http.StatusOK {
+		free, err = platform.StageRoom(b)
+	}
+	if err != nil || status != http.StatusOK {
+		h.log.Warn("look_failed", zap.String("server", l.Server.ID), zap.Int("status", status), zap.Error(err))
+	}
+	h.do(func(p *place.Home) { p.Looked(l.Number, free, err == nil && status == http.StatusOK) })
 }
