--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -15,7 +15,7 @@
 const (
 	// loadFactor and loadSlack bound the load of the preferred server over the mean.
 	loadFactor = 1.3
-	loadSlack  = 3
+	loadSlack  = 8
 	// coldShare of a cold server's rate is used by one home, since the homes of two
 	// regions, or an old and a new home, may use a server at once.
 	coldShare = 0.4
--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -150,8 +150,8 @@
 	slack time.Duration
 }
 
-// order returns the order of a piece. Pieces that can still meet their goal go first,
-// the one with the least time to spare ahead; then the others by rank.
+// order returns the order of a piece. Pieces that can still meet their goal go first;
+// within both kinds the rank decides, then the time to spare.
 func (h *Home) order(p *piece, now time.Time) order {
 	j := p.job
 	need := h.callTime(p.stage.ask.Service, len(p.stage.pieces)) + h.after(j, p.stage.index)
@@ -159,7 +159,7 @@
 	if s < 0 {
 		return order{late: true, rank: j.ask.Rank, slack: j.limit.Sub(now)}
 	}
-	return order{slack: s}
+	return order{rank: j.ask.Rank, slack: s}
 }
 
 func (a order) compare(b order) int {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -73,6 +73,7 @@
 	Number  uint64
 	Server  relay.Server
 	Pieces  []Piece
+	Waiting int           // pieces that stay in the queue
 	Timeout time.Duration // after which the server counts as silent
 }
 
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -194,29 +194,30 @@
 }
 
 // batch takes the pieces for the next call of a server out of the queue, the most
-// urgent first, as far as its room goes.
+// urgent first, as far as its room goes. The pieces of one stage of a request stay
+// together where they fit into a call: results take room until all of them exist.
 func (h *Home) batch(q *pool, m *maker, w *relay.PieceWork) []*piece {
 	now := h.Now()
-	type entry struct {
-		p     *piece
-		order order
-	}
-	l := make([]entry, 0, len(q.waiting))
-	for _, p := range q.waiting {
-		if h.fits(q, m, p, now) {
-			l = append(l, entry{p, h.order(p, now)})
-		}
-	}
-	slices.SortStableFunc(l, func(a, b entry) int { return a.order.compare(b.order) })
 	var taken []*piece
 	room := m.room(w, now)
-	for _, e := range l {
-		b := e.p.stage.ask.ResultBytes
-		if len(taken) == w.Batch || b > room {
+	for _, g := range h.groups(q, m, now) {
+		n := len(g.pieces)
+		if len(taken)+n > w.Batch {
+			if len(taken) > 0 {
+				continue
+			}
+			n = w.Batch
+		}
+		b := g.pieces[0].stage.ask.ResultBytes
+		fit := n
+		if b > 0 {
+			fit = int(min(int64(n), max(0, room/b)))
+		}
+		taken = append(taken, g.pieces[:fit]...)
+		room -= int64(fit) * b
+		if fit < n {
 			break
 		}
-		room -= b
-		taken = append(taken, e.p)
 	}
 	for _, p := range taken {
 		q.remove(p)
@@ -224,6 +225,32 @@
 	return taken
 }
 
+// group is the pieces of one stage of a request that wait.
+type group struct {
+	pieces []*piece
+	order  order
+}
+
+// groups returns what waits and may go to a server, the most urgent first.
+func (h *Home) groups(q *pool, m *maker, now time.Time) []*group {
+	of := map[*jobStage]*group{}
+	var l []*group
+	for _, p := range q.waiting {
+		if !h.fits(q, m, p, now) {
+			continue
+		}
+		g := of[p.stage]
+		if g == nil {
+			g = &group{order: h.order(p, now)}
+			of[p.stage] = g
+			l = append(l, g)
+		}
+		g.pieces = append(g.pieces, p)
+	}
+	slices.SortStableFunc(l, func(a, b *group) int { return a.order.compare(b.order) })
+	return l
+}
+
 // fits reports whether a piece may go to a server: large results are made next to
 // their model server, unless no server there can make them soon.
 func (h *Home) fits(q *pool, m *maker, p *piece, now time.Time) bool {
@@ -245,7 +272,7 @@
 	c := &call{maker: m, pool: q, pieces: l, started: h.Now(), expected: expected}
 	h.calls[h.number] = c
 	m.calls++
-	k := Call{Number: h.number, Server: *m.server, Timeout: callPatience*expected + callSlack}
+	k := Call{Number: h.number, Server: *m.server, Waiting: len(q.waiting), Timeout: callPatience*expected + callSlack}
 	for _, p := range l {
 		p.maker = m
 		m.reserved += p.stage.ask.ResultBytes
--- a/io/edge/home.go
+++ b/io/edge/home.go
@@ -112,10 +112,15 @@
 	defer cancel()
 	start := time.Now()
 	end, l, err := h.exchange(ctx, c)
-	if err != nil || end != place.CallDone {
-		h.log.Warn("stage_call_failed", zap.String("server", c.Server.ID), zap.String("service", c.Server.Service),
-			zap.Int("pieces", len(c.Pieces)), zap.Duration("took", time.Since(start)), zap.Uint8("end", uint8(end)), zap.Error(err))
+	made := 0
+	for _, r := range l {
+		if r.End == place.PieceMade {
+			made++
+		}
 	}
+	h.log.Info("stage_call", zap.String("server", c.Server.ID), zap.String("service", c.Server.Service),
+		zap.Int("pieces", len(c.Pieces)), zap.Int("made", made), zap.Int("waiting", c.Waiting),
+		zap.Duration("took", time.Since(start)), zap.Uint8("end", uint8(end)), zap.Error(err))
 	h.do(func(p *place.Home) { p.Called(c.Number, end, l) })
 }
 
