--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -16,6 +16,8 @@
 	// localBytes is the size from which a result is made in the failure domain of
 	// its model server where possible; smaller ones go to whichever server is free.
 	localBytes = 32 << 10
+	// awayCost is how much later a piece with as many bytes counts at a server elsewhere.
+	awayCost = 500 * time.Millisecond
 	// spillAfter is how long a piece waits for a server in its own failure domain.
 	spillAfter = 250 * time.Millisecond
 	// fullPause is the pause of a server that rejected a call or had no room.
@@ -242,6 +244,9 @@
 		g := of[p.stage]
 		if g == nil {
 			g = &group{order: h.order(p, now)}
+			if m.server.Domain != p.job.domain && p.moved() >= localBytes {
+				g.order.slack += awayCost
+			}
 			of[p.stage] = g
 			l = append(l, g)
 		}
@@ -265,6 +270,17 @@
 	})
 }
 
+// moved returns the bytes that cross to another failure domain if a piece is made away
+// from its model server: its result and those that it is made from.
+func (p *piece) moved() int64 {
+	n := p.stage.ask.ResultBytes
+	for _, a := range p.stage.ask.After {
+		s := p.job.stages[a]
+		n += int64(len(s.pieces)) * s.ask.ResultBytes
+	}
+	return n
+}
+
 // send makes a call.
 func (h *Home) send(q *pool, m *maker, l []*piece, w *relay.PieceWork) {
 	h.number++
