Start the pieces of a stage only when a server has room for all of them

Cause: trackable-ledger made 4 pieces a call while 40 to 140 waited: the most urgent, large pieces waited for room and held up small ones behind them, and requests with some of their pieces made held room that others needed to finish. Small results (a fiftieth of a server's room) now overtake, and a stage starts whole or not at all where it fits into a server.

--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -16,6 +16,9 @@
 	// localBytes is the size from which a result is made in the failure domain of
 	// its model server where possible; smaller ones go to whichever server is free.
 	localBytes = 32 << 10
+	// smallShare is the part of a server's room up to which pieces overtake more urgent
+	// ones that wait for room.
+	smallShare = 50
 	// awayCost is how much later a piece with as many bytes counts at a server elsewhere.
 	awayCost = 500 * time.Millisecond
 	// spillAfter is how long a piece waits for a server in its own failure domain.
@@ -201,6 +204,7 @@
 func (h *Home) batch(q *pool, m *maker, w *relay.PieceWork) []*piece {
 	now := h.Now()
 	var taken []*piece
+	blocked := false // a more urgent group waits for room
 	room := m.room(w, now)
 	for _, g := range h.groups(q, m, now) {
 		n := len(g.pieces)
@@ -215,11 +219,16 @@
 		if b > 0 {
 			fit = int(min(int64(n), max(0, room/b)))
 		}
+		if blocked && int64(n)*b > w.RoomBytes/smallShare {
+			continue
+		}
+		if fit < n && len(g.pieces[0].stage.pieces) == n && int64(n)*b <= w.RoomBytes {
+			blocked = true
+			continue
+		}
 		taken = append(taken, g.pieces[:fit]...)
 		room -= int64(fit) * b
-		if fit < n {
-			break
-		}
+		blocked = blocked || fit < n
 	}
 	for _, p := range taken {
 		q.remove(p)
