Make large results for the model server when they are needed, not at once

Cause: a trail hint's first stage needs 1.5 MB a result and nothing follows it, so its results took a twelfth of a server's room each while three more stages ran. They now start 400 ms before the longest chain of the other stages is expected to end.

--- a/core/place/home.go
+++ b/core/place/home.go
@@ -16,6 +16,9 @@
 	grantSlack = 30 * time.Millisecond
 	// mostRemakes bounds how often pieces of one request are made again.
 	mostRemakes = 4
+	// startAhead is how much sooner than needed a large result is made that only the
+	// model server needs.
+	startAhead = 400 * time.Millisecond
 	// keepGranted is how long a granted job is kept beyond its time limit, for a
 	// node that never reports its end.
 	keepGranted = 2 * time.Second
@@ -172,7 +175,7 @@
 		if s.left > 0 {
 			all = false
 		}
-		if !s.started && s.left > 0 && j.ready(s) {
+		if !s.started && s.left > 0 && j.ready(s) && !h.early(j, s) {
 			h.start(j, s)
 		}
 	}
@@ -192,6 +195,24 @@
 	return true
 }
 
+// early reports whether the results of a stage would only wait for those of a longer
+// chain of stages, taking room meanwhile.
+func (h *Home) early(j *job, s *jobStage) bool {
+	if s.ask.ResultBytes < localBytes || len(s.ask.After) > 0 {
+		return false
+	}
+	var chain time.Duration
+	for i, f := range j.stages {
+		if slices.Contains(f.ask.After, s.index) {
+			return false
+		}
+		if f != s && f.left > 0 {
+			chain = max(chain, h.path(j, i))
+		}
+	}
+	return chain > h.path(j, s.index)+startAhead
+}
+
 // start queues all pieces of a stage.
 func (h *Home) start(j *job, s *jobStage) {
 	s.started = true
@@ -292,6 +313,8 @@
 			h.forget(id)
 		case j.granted == nil && now.Add(h.least(j)).After(j.limit):
 			h.refuse(j, ReasonLate, h.backlog(j))
+		case j.granted == nil:
+			h.advance(j)
 		}
 	}
 	h.prune()
