--- a/core/place/place.go
+++ b/core/place/place.go
@@ -99,14 +99,14 @@
 	Looks   []Look
 }
 
-// FreeEnd says how a Free ended.
-type FreeEnd uint8
+// MessageEnd says how a Free or a Look ended.
+type MessageEnd uint8
 
-// The ends of a Free.
+// The ends of a message.
 const (
-	FreeDone    FreeEnd = iota
-	FreeRefused         // no process listens at the address
-	FreeFailed          // not known whether it was done
+	MessageDone    MessageEnd = iota
+	MessageRefused            // no process of the server listens at the address
+	MessageFailed             // not known whether it was taken
 )
 
 // CallEnd says how a call ended.
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -53,6 +53,7 @@
 	others   int64     // bytes of results that this home does not know of
 	othersTo time.Time // when the last of those has lapsed
 	looking  bool      // it was asked for its room
+	seen     bool      // it was asked before
 	until    time.Time
 	backoff  time.Duration
 	pace     float64 // time of its calls relative to the expected, 0: not seen
@@ -360,7 +361,9 @@
 		m.until = now.Add(fullPause)
 	case CallMoved, CallRefused, CallBroken:
 		h.pause(m)
-		if end != CallBroken { // one broken connection does not tell that the process ended
+		if end == CallBroken { // one broken connection does not tell that the process ended
+			h.look(m)
+		} else {
 			h.lose(c.pool, m)
 		}
 	}
--- a/core/place/room.go
+++ b/core/place/room.go
@@ -76,7 +76,7 @@
 }
 
 // Freed takes the end of a Free.
-func (h *Home) Freed(number uint64, end FreeEnd) {
+func (h *Home) Freed(number uint64, end MessageEnd) {
 	h.init()
 	f := h.frees[number]
 	if f == nil {
@@ -87,11 +87,11 @@
 	m.freeing = false
 	switch {
 	case m.dead:
-	case end == FreeDone:
+	case end == MessageDone:
 		for _, r := range f.results {
 			m.reserved -= r.bytes
 		}
-	case end == FreeRefused:
+	case end == MessageRefused:
 		h.ended(m)
 	default:
 		m.freeable = append(f.results, m.freeable...)
@@ -110,7 +110,7 @@
 	}
 }
 
-// look asks a server for its room, for what others have made there.
+// look asks a server for its room, and shows whether its process runs.
 func (h *Home) look(m *maker) {
 	if m.looking {
 		return
@@ -121,8 +121,10 @@
 	h.work.Looks = append(h.work.Looks, Look{Number: h.number, Server: *m.server})
 }
 
-// Looked takes the answer to a Look: the bytes that may be free, if it was answered.
-func (h *Home) Looked(number uint64, free int64, answered bool) {
+// Looked takes the answer to a Look: the bytes that may be free. It counts the first
+// time only: the server's figures are late, so that later ones miss what was freed
+// or made a moment ago.
+func (h *Home) Looked(number uint64, end MessageEnd, free int64) {
 	h.init()
 	m := h.looks[number]
 	if m == nil {
@@ -131,9 +133,13 @@
 	delete(h.looks, number)
 	m.looking = false
 	s := h.View().Config.Services[m.server.Service]
-	if answered && s != nil && s.Pieces != nil {
+	if end == MessageDone && !m.seen && s != nil && s.Pieces != nil {
 		m.others = max(0, s.Pieces.RoomBytes-free-m.reserved)
 		m.othersTo = h.Now().Add(s.Pieces.Keep)
 	}
+	m.seen = true
+	if end == MessageRefused && !m.dead {
+		h.ended(m)
+	}
 	h.dispatch()
 }
--- a/io/edge/home.go
+++ b/io/edge/home.go
@@ -112,14 +112,13 @@
 	defer cancel()
 	start := time.Now()
 	end, l, err := h.exchange(ctx, c)
-	made := 0
+	var ends [place.PieceError + 1]int
 	for _, r := range l {
-		if r.End == place.PieceMade {
-			made++
-		}
+		ends[r.End]++
 	}
 	h.log.Info("stage_call", zap.String("server", c.Server.ID), zap.String("service", c.Server.Service),
-		zap.Int("pieces", len(c.Pieces)), zap.Int("made", made), zap.Int("waiting", c.Waiting),
+		zap.Int("pieces", len(c.Pieces)), zap.Int("made", ends[place.PieceMade]), zap.Int("gone", ends[place.PieceGone]),
+		zap.Int("no_room", ends[place.PieceRoom]), zap.Int("waiting", c.Waiting),
 		zap.Duration("took", time.Since(start)), zap.Uint8("end", uint8(end)), zap.Error(err))
 	h.do(func(p *place.Home) { p.Called(c.Number, end, l) })
 }
@@ -167,13 +166,8 @@
 	if err == nil {
 		status, _, err = h.send(ctx, q)
 	}
-	end := place.FreeDone
-	if u, ok := errors.AsType[*exchange.UnsentError](err); ok && u.Refused || status == http.StatusMisdirectedRequest {
-		end = place.FreeRefused
-	} else if err != nil || status != http.StatusOK {
-		end = place.FreeFailed
-	}
-	if end != place.FreeDone {
+	end := messageEnd(status, err)
+	if end != place.MessageDone {
 		h.log.Warn("free_failed", zap.String("server", f.Server.ID), zap.Int("handles", len(f.Handles)), zap.Int("status", status), zap.Error(err))
 	}
 	h.do(func(p *place.Home) { p.Freed(f.Number, end) })
@@ -188,8 +182,21 @@
 	if err == nil && status == http.StatusOK {
 		free, err = platform.StageRoom(b)
 	}
-	if err != nil || status != http.StatusOK {
+	end := messageEnd(status, err)
+	if end != place.MessageDone {
 		h.log.Warn("look_failed", zap.String("server", l.Server.ID), zap.Int("status", status), zap.Error(err))
 	}
-	h.do(func(p *place.Home) { p.Looked(l.Number, free, err == nil && status == http.StatusOK) })
+	h.do(func(p *place.Home) { p.Looked(l.Number, end, free) })
+}
+
+// messageEnd says how a message with an answer, or an error, ended.
+func messageEnd(status int, err error) place.MessageEnd {
+	u, ok := errors.AsType[*exchange.UnsentError](err)
+	switch {
+	case ok && u.Refused, status == http.StatusMisdirectedRequest:
+		return place.MessageRefused
+	case err != nil, status != http.StatusOK:
+		return place.MessageFailed
+	}
+	return place.MessageDone
 }
