--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -38,8 +38,9 @@
 	return time.Duration(calls)*w.CallTime + time.Duration(min(each, w.Batch))*w.PieceTime
 }
 
-// wait returns how long the pieces that wait for a service take to be served.
-func (h *Home) wait(service string) time.Duration {
+// wait returns how long the pieces that wait for a service take to be served, as far
+// as they go before those of a rank.
+func (h *Home) wait(service string, rank int) time.Duration {
 	v := h.View()
 	q := h.pools[service]
 	if v.Config == nil || q == nil {
@@ -53,7 +54,13 @@
 	full := w.CallTime + time.Duration(w.Batch)*w.PieceTime
 	rate := float64(w.Batch) / float64(full) // pieces per nanosecond of one server
 	n := max(1, len(h.makers(q)))
-	return time.Duration(float64(len(q.waiting)) / rate / float64(n))
+	before := 0
+	for _, p := range q.waiting {
+		if p.job.ask.Rank <= rank {
+			before++
+		}
+	}
+	return time.Duration(float64(before) / rate / float64(n))
 }
 
 // after returns the time that a job needs from the end of a stage on.
@@ -106,7 +113,7 @@
 func (h *Home) backlog(j *job) time.Duration {
 	d := retryMin
 	for i := range j.ask.Stages {
-		d = max(d, h.wait(j.ask.Stages[i].Service))
+		d = max(d, h.wait(j.ask.Stages[i].Service, j.ask.Rank))
 	}
 	return min(d, retryMax)
 }
@@ -131,7 +138,7 @@
 // stages that follow it.
 func (h *Home) path(j *job, n int) time.Duration {
 	s := j.stages[n]
-	d := h.wait(s.ask.Service) + h.callTime(s.ask.Service, s.ask.Pieces)
+	d := h.wait(s.ask.Service, j.ask.Rank) + h.callTime(s.ask.Service, s.ask.Pieces)
 	var f time.Duration
 	for i, t := range j.stages {
 		for _, a := range t.ask.After {
