Order pieces by rank, then by whether they can meet their goal

Before: all that could meet their goal went first, so a late petition draft waited behind questions in time that are worth less than a late draft.

--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -150,31 +150,26 @@
 	return d + f
 }
 
-// order says which of two pieces goes first.
+// order says which of two pieces goes first: the more urgent rank; within it the one that
+// can still meet its goal, then the one with the least time to spare.
 type order struct {
-	late  bool // cannot meet its goal any more
 	rank  int
+	late  int // 1: cannot meet its goal any more
 	slack time.Duration
 }
 
-// order returns the order of a piece. Pieces that can still meet their goal go first;
-// within both kinds the rank decides, then the time to spare.
+// order returns the order of a piece.
 func (h *Home) order(p *piece, now time.Time) order {
 	j := p.job
 	need := h.callTime(p.stage.ask.Service, len(p.stage.pieces)) + h.after(j, p.stage.index)
-	s := j.goal.Sub(now) - need
-	if s < 0 {
-		return order{late: true, rank: j.ask.Rank, slack: j.limit.Sub(now)}
+	o := order{rank: j.ask.Rank, slack: j.goal.Sub(now) - need}
+	if o.slack < 0 {
+		o.late = 1
+		o.slack = j.limit.Sub(now)
 	}
-	return order{rank: j.ask.Rank, slack: s}
+	return o
 }
 
 func (a order) compare(b order) int {
-	if a.late != b.late {
-		if a.late {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.slack, b.slack))
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.late, b.late), cmp.Compare(a.slack, b.slack))
 }
