--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -132,7 +132,7 @@
 	slices.SortFunc(l, func(a, b *engine) int {
 		return cmp.Or(
 			cmp.Compare(j.away(a), j.away(b)),
-			cmp.Compare(weight(j.ask.Group, b.server.ID), weight(j.ask.Group, a.server.ID)),
+			cmp.Compare(weight(j.group(), b.server.ID), weight(j.group(), a.server.ID)),
 		)
 	})
 	for _, e := range l {
@@ -143,6 +143,28 @@
 	return slices.MinFunc(l, func(a, b *engine) int { return cmp.Compare(a.load(), b.load()) })
 }
 
+// fetch returns the address of the server from which the chosen one should fetch parts
+// of a job's prompt, or an empty text.
+func (h *Home) fetch(j *job, e *engine) string {
+	v, now := h.View(), h.Now()
+	id := h.prompts.source(j.ask.Parts, e.server.ID, now, func(id string) bool {
+		o := h.engines[id]
+		return o != nil && !now.Before(o.until) && o.server.Region == e.server.Region && slices.Contains(v.Servers[j.ask.Service], o.server)
+	})
+	if id == "" {
+		return ""
+	}
+	return h.engines[id].server.Address
+}
+
+// group returns the hash of all shared parts of a job's prompt, 0: none.
+func (j *job) group() uint64 {
+	if n := len(j.ask.Parts); n > 0 {
+		return j.ask.Parts[n-1].Hash
+	}
+	return 0
+}
+
 // away orders servers outside the failure domain of the job's results last.
 func (j *job) away(e *engine) int {
 	if j.domain == "" || e.server.Domain == j.domain {
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -43,6 +43,7 @@
 	calls   map[uint64]*call
 	frees   map[uint64]*freeing
 	looks   map[uint64]*maker
+	prompts prompts
 	number  uint64
 	work    Work
 }
@@ -278,7 +279,7 @@
 	}
 	j.granted = e
 	e.take(h.Now(), j.ask.Tokens)
-	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Server: *e.server, Inputs: j.leaves()})
+	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Server: *e.server, Inputs: j.leaves(), Fetch: h.fetch(j, e)})
 }
 
 // Ran takes a node's report on a granted request.
@@ -292,6 +293,7 @@
 		return
 	}
 	if r == RunStarted {
+		h.prompts.read(j.ask.Parts, server, h.Now())
 		for _, s := range j.stages {
 			h.release(s)
 		}
@@ -318,5 +320,6 @@
 		}
 	}
 	h.prune()
+	h.prompts.prune(now)
 	h.dispatch()
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -19,7 +19,7 @@
 	Service string // of model servers
 	Stages  []StageAsk
 	Key     string // that pieces without inputs are made from
-	Group   uint64 // fingerprint of the shared prompt parts, 0: none
+	Parts   []Part // of the prompt that other requests share, in order
 	Tokens  int    // prompt and answer
 	Rank    int    // 0 is the most urgent
 	Goal    time.Duration
@@ -29,6 +29,12 @@
 	Again   bool     // its pieces were made before
 }
 
+// Part is a part of a prompt that other requests share.
+type Part struct {
+	Hash   uint64 // of this part and all before it
+	Tokens int
+}
+
 // StageAsk is one stage of a request.
 type StageAsk struct {
 	Service     string
@@ -42,6 +48,7 @@
 	ID     string
 	Server relay.Server
 	Inputs []string // handles for the model server
+	Fetch  string   // address of a model server that has more of the prompt, or empty
 	Reason string   // of a refusal
 	// RetryAfter is the time after which a refused request is worth sending again.
 	RetryAfter time.Duration
--- a/io/peer/place.go
+++ b/io/peer/place.go
@@ -95,8 +95,11 @@
 
 func wirePlaceAsk(a place.Ask) *wire.PlaceAsk {
 	return &wire.PlaceAsk{
-		Id: a.ID, Service: a.Service, Key: a.Key, Group: int(a.Group), Tokens: a.Tokens, Rank: a.Rank,
+		Id: a.ID, Service: a.Service, Key: a.Key, Tokens: a.Tokens, Rank: a.Rank,
 		Goal: micros(a.Goal), Left: micros(a.Left), Regions: a.Regions, Avoid: a.Avoid, Again: a.Again,
+		Parts: each(a.Parts, func(p place.Part) wire.PlacePart {
+			return wire.PlacePart{Hash: int(p.Hash), Tokens: p.Tokens}
+		}),
 		Stages: each(a.Stages, func(s place.StageAsk) wire.PlaceStage {
 			return wire.PlaceStage{Service: s.Service, After: s.After, ResultBytes: int(s.ResultBytes), Pieces: s.Pieces}
 		}),
@@ -105,8 +108,11 @@
 
 func placeAskOf(w wire.PlaceAsk) place.Ask {
 	return place.Ask{
-		ID: w.Id, Service: w.Service, Key: w.Key, Group: uint64(w.Group), Tokens: w.Tokens, Rank: w.Rank,
+		ID: w.Id, Service: w.Service, Key: w.Key, Tokens: w.Tokens, Rank: w.Rank,
 		Goal: duration(w.Goal), Left: duration(w.Left), Regions: w.Regions, Avoid: w.Avoid, Again: w.Again,
+		Parts: each(w.Parts, func(p wire.PlacePart) place.Part {
+			return place.Part{Hash: uint64(p.Hash), Tokens: p.Tokens}
+		}),
 		Stages: each(w.Stages, func(s wire.PlaceStage) place.StageAsk {
 			return place.StageAsk{Service: s.Service, After: s.After, ResultBytes: int64(s.ResultBytes), Pieces: s.Pieces}
 		}),
@@ -117,7 +123,7 @@
 	s := a.Server
 	return &wire.PlaceAnswer{
 		Id: a.ID, Server: s.ID, Address: s.Address, Domain: s.Domain, Region: s.Region, Service: s.Service,
-		Inputs: a.Inputs, Reason: a.Reason, RetryAfter: micros(a.RetryAfter),
+		Inputs: a.Inputs, Fetch: a.Fetch, Reason: a.Reason, RetryAfter: micros(a.RetryAfter),
 	}
 }
 
@@ -125,6 +131,6 @@
 	return place.Answer{
 		ID:     w.Id,
 		Server: relay.Server{ID: w.Server, Address: w.Address, Domain: w.Domain, Region: w.Region, Service: w.Service},
-		Inputs: w.Inputs, Reason: w.Reason, RetryAfter: duration(w.RetryAfter),
+		Inputs: w.Inputs, Fetch: w.Fetch, Reason: w.Reason, RetryAfter: duration(w.RetryAfter),
 	}
 }
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -75,7 +75,7 @@
 // ask returns what the home is asked.
 func (q *request) ask() place.Ask {
 	a := place.Ask{
-		ID: q.meta.ID, Service: q.service, Key: q.meta.PieceKey, Group: q.meta.Group, Tokens: q.meta.Tokens,
+		ID: q.meta.ID, Service: q.service, Key: q.meta.PieceKey, Parts: q.meta.Parts, Tokens: q.meta.Tokens,
 		Rank: relay.Rank(q.route, q.org),
 	}
 	a.Regions = allowedRegions(q.route, q.org)
@@ -122,7 +122,7 @@
 	s := q.server
 	x := Send{
 		Server: g.Server.ID, Organisation: q.organisation(), Left: q.left(), Model: true,
-		Rank: relay.Rank(q.route, q.org), Inputs: g.Inputs, LastEvent: out.last,
+		Rank: relay.Rank(q.route, q.org), Inputs: g.Inputs, Fetch: g.Fetch, LastEvent: out.last,
 	}
 	a := q.send(ctx, &g.Server, x)
 	defer a.close()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -25,9 +25,9 @@
 	Key       string        // proves the organisation
 	Left      time.Duration // how long the caller will wait, if Bounded
 	Bounded   bool
-	Tokens    int    // of the prompt and, at most, of the answer
-	Group     uint64 // fingerprint of the shared prompt parts, 0: none
-	Pieces    []int  // of each stage
+	Tokens    int          // of the prompt and, at most, of the answer
+	Parts     []place.Part // of the prompt that other requests share
+	Pieces    []int        // of each stage
 	PieceKey  string
 	LastEvent string // id of the last event that the caller has
 }
@@ -40,6 +40,7 @@
 	Model        bool // it goes to a model server, and Rank and Inputs hold
 	Rank         int
 	Inputs       []string
+	Fetch        string // address of a server that has more of the prompt, or empty
 	LastEvent    string
 }
 
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -399,6 +399,9 @@
 	// Domain corresponds to the JSON schema field "domain".
 	Domain string `msgpack:"domain"`
 
+	// IP:port of a model server that has more of the prompt, or empty.
+	Fetch string `msgpack:"fetch"`
+
 	// Id corresponds to the JSON schema field "id".
 	Id string `msgpack:"id"`
 
@@ -432,9 +435,6 @@
 	// Time to the first event that earns full credit, in microseconds.
 	Goal int `msgpack:"goal"`
 
-	// Fingerprint of the shared prompt parts.
-	Group int `msgpack:"group"`
-
 	// Id corresponds to the JSON schema field "id".
 	Id string `msgpack:"id"`
 
@@ -444,6 +444,9 @@
 	// Time left in microseconds.
 	Left int `msgpack:"left"`
 
+	// Parts of the prompt that other requests share, in order.
+	Parts []PlacePart `msgpack:"parts"`
+
 	// 0 is the most urgent.
 	Rank int `msgpack:"rank"`
 
@@ -472,6 +475,15 @@
 	Server string `msgpack:"server"`
 }
 
+// A part of a prompt that other requests share.
+type PlacePart struct {
+	// Of this part and all before it.
+	Hash int `msgpack:"hash"`
+
+	// Tokens corresponds to the JSON schema field "tokens".
+	Tokens int `msgpack:"tokens"`
+}
+
 // One stage of a model request.
 type PlaceStage struct {
 	// Stages whose results it needs.
