Test the platform's side in sessions under a fake clock, with stand-ins of it

18 sessions of four real nodes in two regions: batches over nodes, outcomes of unsafe and safe requests, broken and resumed streams, a lost home, crashed stage servers, home regions, leaving servers, domains taken out, configuration through peers, lost history, foreign entries, planned stop, cold servers, bad input. The stand-ins share no code with the adapter.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -50,6 +50,13 @@
 type Node struct {
 	Settings *platform.Settings
 	Log      *zap.Logger
+	// Reload, if set, is called for each value received from Hangup.
+	Reload func()
+	Hangup <-chan os.Signal
+	// Dial opens connections, nil: TCP on which silence is found in seconds.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Listen opens listeners, nil: net.Listen.
+	Listen func(network, address string) (net.Listener, error)
 
 	store    platform.Store
 	stock    corerelay.Stock
@@ -81,8 +88,21 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
-	n := &Node{Settings: s, Log: l.With(zap.String("node", s.Node))}
-	return n.Run(ctx, path)
+	l = l.With(zap.String("node", s.Node))
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	n := &Node{Settings: s, Log: l, Hangup: hup, Reload: func() { reload(l, path) }}
+	return n.Run(ctx)
+}
+
+// reload checks the settings file. Addresses and limits hold until the next start.
+func reload(l *zap.Logger, path string) {
+	if _, err := platform.ReadSettings(path); err != nil {
+		l.Error("reload_failed", zap.Error(err))
+		return
+	}
+	l.Info("reloaded")
 }
 
 func (n *Node) init() {
@@ -90,7 +110,14 @@
 	b := make([]byte, 8)
 	_, _ = rand.Read(b) // never fails
 	n.self = roster.Node{Name: s.Node, Peer: s.Peer, Domain: s.Domain, Region: s.Region, Incarnation: hex.EncodeToString(b)}
-	n.store.Address = s.Store
+	if n.Dial == nil {
+		n.Dial = exchange.Dial
+	}
+	if n.Listen == nil {
+		n.Listen = net.Listen
+	}
+	n.store.Address, n.store.Dial = s.Store, n.Dial
+	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.stock.Now, n.roster.Now = time.Now, time.Now
 	n.home.pool, n.home.log = &n.pool, n.Log
 	n.home.place = place.Home{Now: time.Now, View: n.stock.View, Region: s.Region, Repeat: n.repeat}
@@ -100,7 +127,7 @@
 }
 
 // Run runs the node until the context ends.
-func (n *Node) Run(ctx context.Context, path string) error {
+func (n *Node) Run(ctx context.Context) error {
 	n.init()
 	n.Log.Info("start", zap.String("domain", n.self.Domain), zap.String("incarnation", n.self.Incarnation), zap.String("callers", n.Settings.Callers))
 	work, end := context.WithCancel(context.Background())
@@ -113,10 +140,10 @@
 	}
 	g.Add(func() error { n.home.run(work); return nil }, func(error) { end() })
 	g.Add(func() error { n.link(work); return nil }, func(error) { end() })
-	g.Add(func() error { n.tend(work, path); return nil }, func(error) { end() })
-	g.Add(func() error { return serve(work, callers) }, func(error) { _ = callers.Close() })
+	g.Add(func() error { n.tend(work); return nil }, func(error) { end() })
+	g.Add(func() error { return n.serve(work, callers) }, func(error) { _ = callers.Close() })
 	probe := &http.Server{Addr: n.Settings.Readiness, Handler: http.HandlerFunc(n.readiness), ReadHeaderTimeout: headerTimeout}
-	g.Add(func() error { return serve(work, probe) }, func(error) { _ = probe.Close() })
+	g.Add(func() error { return n.serve(work, probe) }, func(error) { _ = probe.Close() })
 	err := g.Run()
 	if m := n.mesh.Load(); m != nil {
 		m.Close()
@@ -127,8 +154,8 @@
 
 // serve serves until the context ends. A server that is being shut down stops accepting
 // at once, but its requests run on until the context ends.
-func serve(ctx context.Context, s *http.Server) error {
-	l, err := net.Listen("tcp", s.Addr)
+func (n *Node) serve(ctx context.Context, s *http.Server) error {
+	l, err := n.Listen("tcp", s.Addr)
 	if err != nil {
 		return err
 	}
@@ -167,6 +194,7 @@
 	}
 	m := &peer.Mesh{
 		Self: lease.Holder{Node: n.self.Name, Incarnation: n.self.Incarnation}, Key: key,
+		Dial: n.Dial, Listen: n.Listen,
 		OnHello: func(a string, _ lease.Holder) { n.roster.Clear(a) },
 	}
 	peer.PlaceHandlers{
@@ -197,10 +225,7 @@
 }
 
 // tend closes idle connections and notes changes of the settings file.
-func (n *Node) tend(ctx context.Context, path string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (n *Node) tend(ctx context.Context) {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
 	for {
@@ -209,17 +234,8 @@
 			return
 		case <-t.C:
 			n.pool.Sweep()
-		case <-hup:
-			n.reload(path)
+		case <-n.Hangup:
+			n.Reload()
 		}
 	}
 }
-
-// reload checks the settings file. Addresses and limits hold until the next start.
-func (n *Node) reload(path string) {
-	if _, err := platform.ReadSettings(path); err != nil {
-		n.Log.Error("reload_failed", zap.Error(err))
-		return
-	}
-	n.Log.Info("reloaded")
-}
--- /dev/null
+++ b/io/edge/session_test.go
@@ -0,0 +1,390 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotspring/io/standin"
+	outside "bergamotspring/platform/standin"
+)
+
+// A calm fleet answers each kind of request, with the answers of the servers unchanged.
+func TestCalmFleet(t *testing.T) {
+	play(t, func(w *world) {
+		r := w.ask("a1", http.MethodGet, "/read/x", "r1")
+		if want := "answer of plain-a to r1"; r.status != 200 || r.body != want {
+			t.Errorf("read: got %d %q, want 200 %q", r.status, r.body, want)
+		}
+		if got := r.header.Get("X-Bergamotspring-Server-Stamp"); got != "stamp-plain-a" {
+			t.Errorf("stamp: got %q", got)
+		}
+		if r := w.ask("b1", http.MethodPost, "/file/x", "f1"); r.status != 200 || w.runs("f1") != 1 {
+			t.Errorf("file: got %d, %d runs, want 200 and one run", r.status, w.runs("f1"))
+		}
+		for _, n := range []string{"a1", "a2", "b1", "c1"} {
+			r := w.draft(n, "/draft/x", "d"+n)
+			if r.status != 200 || r.err != nil || r.body != events(6) {
+				t.Errorf("draft at %s: got %d %v %q", n, r.status, r.err, r.body)
+			}
+		}
+		if len(w.results.Wrong) > 0 {
+			t.Errorf("inputs of other requests: %v", w.results.Wrong)
+		}
+		for _, s := range w.servers {
+			for _, x := range s.Runs() {
+				if x.Organisation != "org" {
+					t.Errorf("%s ran %s for %q, want org", s.ID, x.ID, x.Organisation)
+				}
+			}
+		}
+		time.Sleep(time.Second)
+		for id := range w.servers {
+			if n := w.results.Held(id); n != 0 {
+				t.Errorf("%s holds %d results after all requests ended", id, n)
+			}
+		}
+	})
+}
+
+// Pieces of all nodes of a region go into common calls.
+func TestBatchesAcrossNodes(t *testing.T) {
+	play(t, func(w *world) {
+		var g sync.WaitGroup
+		for i := range 12 {
+			node := []string{"a1", "a2", "b1"}[i%3]
+			g.Go(func() { w.draft(node, "/draft/x", fmt.Sprint("n", i)) })
+		}
+		g.Wait()
+		calls, pieces := 0, 0
+		for _, s := range w.servers {
+			for _, n := range s.Calls() {
+				calls++
+				pieces += n
+			}
+		}
+		if want := 12 * 5; pieces != want {
+			t.Errorf("got %d pieces, want %d: none is made twice", pieces, want)
+		}
+		if calls > pieces/2 {
+			t.Errorf("got %d calls for %d pieces, want at most half as many", calls, pieces)
+		}
+		if w.results.NoRoom > 0 {
+			t.Errorf("%d pieces found no room", w.results.NoRoom)
+		}
+	})
+}
+
+// Requests that no configuration allows are answered by the node itself.
+func TestOwnAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		more       []string
+		want       int
+	}{
+		{"no route", "/none/x", nil, 404},
+		{"unknown key", "/read/x", []string{"Api-Key", "stolen"}, 401},
+		{"no id", "/read/x", []string{"X-Bergamotspring-Request-Id", ""}, 400},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, func(w *world) {
+				if r := w.ask("a1", http.MethodGet, c.path, "x", c.more...); r.status != c.want {
+					t.Errorf("got %d, want %d", r.status, c.want)
+				}
+			})
+		})
+	}
+}
+
+// A body over the limit is refused, and headers that only the system may set do not pass.
+func TestBadInput(t *testing.T) {
+	play(t, func(w *world) {
+		r := w.ask("a1", http.MethodPost, "/file/"+strings.Repeat("x", 10), strings.Repeat("i", 1100))
+		if r.status != http.StatusRequestEntityTooLarge {
+			t.Errorf("large body: got %d, want 413", r.status)
+		}
+		w.draft("a1", "/draft/x", "forged", "X-Bergamotspring-Tenant", "other", "X-Bergamotspring-Inputs", "10.1.0.2:80/99", "Kv-Fetch", "10.66.0.1:1")
+		for _, s := range w.servers {
+			for _, x := range s.Runs() {
+				if x.ID == "forged" && (x.Organisation != "org" || strings.Contains(x.Inputs, "/99") || x.Fetch == "10.66.0.1:1") {
+					t.Errorf("a caller's header reached a server: %+v", x)
+				}
+			}
+		}
+	})
+}
+
+// An unsafe request is sent on after a server stated that it did not run it, and never
+// after one may have.
+func TestUnsafeRunsOnce(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults []outside.Fault
+		status int
+		runs   int
+	}{
+		{"rejected", []outside.Fault{outside.FaultReject}, 200, 1},
+		{"answer lost", []outside.Fault{outside.FaultLose}, 502, 1},
+		{"failed", []outside.Fault{outside.FaultError}, 500, 1},
+		{"silent", []outside.Fault{outside.FaultMute}, 504, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, func(w *world) {
+				w.servers["plain-a"].Next(c.faults...)
+				r := w.ask("a1", http.MethodPost, "/file/x", "once")
+				if r.status != c.status || w.runs("once") != c.runs {
+					t.Errorf("got %d with %d runs, want %d with %d", r.status, w.runs("once"), c.status, c.runs)
+				}
+			})
+		})
+	}
+}
+
+// All servers reject: the refusal says truly that nothing ran, and comes at once.
+func TestRefusalIsTrue(t *testing.T) {
+	play(t, func(w *world) {
+		for _, d := range []string{"a", "b", "c"} {
+			w.servers["plain-"+d].Next(outside.FaultReject)
+		}
+		r := w.ask("a1", http.MethodPost, "/file/x", "shed")
+		if r.status != 503 || r.header.Get("Retry-After") == "" || w.runs("shed") != 0 {
+			t.Errorf("got %d, Retry-After %q, %d runs", r.status, r.header.Get("Retry-After"), w.runs("shed"))
+		}
+		if r.took > 100*time.Millisecond {
+			t.Errorf("refused after %v", r.took)
+		}
+	})
+}
+
+// A safe request whose answer is lost is repeated elsewhere.
+func TestSafeIsRepeated(t *testing.T) {
+	play(t, func(w *world) {
+		w.servers["plain-a"].Next(outside.FaultLose)
+		if r := w.ask("a1", http.MethodGet, "/read/x", "again"); r.status != 200 || w.runs("again") != 2 {
+			t.Errorf("got %d, %d runs, want 200 after 2", r.status, w.runs("again"))
+		}
+	})
+}
+
+// A stream that breaks off in the middle of an event goes on elsewhere, without a piece
+// missing or twice; one that may not be resumed is broken off for the caller too.
+func TestBrokenStream(t *testing.T) {
+	play(t, func(w *world) {
+		w.fault(outside.FaultBreak)
+		r := w.draft("a1", "/draft/x", "resumed")
+		if r.status != 200 || r.err != nil || r.body != events(6) || w.runs("resumed") != 2 {
+			t.Errorf("resumable: got %d %v %q after %d runs", r.status, r.err, r.body, w.runs("resumed"))
+		}
+	})
+	play(t, func(w *world) {
+		w.fault(outside.FaultBreak)
+		r := w.draft("a1", "/once/x", "single")
+		if r.err == nil || r.body != events(3) || w.runs("single") != 1 {
+			t.Errorf("not resumable: got %v %q after %d runs, want a broken answer", r.err, r.body, w.runs("single"))
+		}
+	})
+}
+
+// The home is killed while it places requests: the others ask its successor.
+func TestHomeLost(t *testing.T) {
+	play(t, func(w *world) {
+		var g sync.WaitGroup
+		got := make([]reply, 8)
+		for i := range got {
+			g.Go(func() { got[i] = w.draft([]string{"a2", "b1"}[i%2], "/draft/x", fmt.Sprint("h", i)) })
+		}
+		time.Sleep(150 * time.Millisecond) // in the first calls
+		w.kill("a1")
+		g.Wait()
+		for i, r := range got {
+			if r.status != 200 || r.body != events(6) {
+				t.Errorf("request %d: got %d %v %q", i, r.status, r.err, r.body)
+			}
+		}
+		if n := len(w.log.with("home_silent")); n == 0 {
+			t.Error("no line says that the home was lost")
+		}
+	})
+}
+
+// A server of a stage crashes with results: they are made again.
+func TestStageServerCrashes(t *testing.T) {
+	play(t, func(w *world) {
+		var g sync.WaitGroup
+		got := make([]reply, 6)
+		for i := range got {
+			g.Go(func() { got[i] = w.draft("a1", "/draft/x", fmt.Sprint("c", i)) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.results.Restart(w.servers["encode-a"])
+		w.net.SetHost("10.1.0.2", standin.HostRefuses)
+		g.Wait()
+		for i, r := range got {
+			if r.status != 200 || r.body != events(6) {
+				t.Errorf("request %d: got %d %v", i, r.status, r.err)
+			}
+		}
+	})
+}
+
+// Routes with home regions are served there only.
+func TestHomeRegions(t *testing.T) {
+	play(t, func(w *world) {
+		if r := w.ask("a1", http.MethodGet, "/south/x", "s1"); r.body != "answer of plain-c to s1" {
+			t.Errorf("got %d %q", r.status, r.body)
+		}
+		w.register(w.servers["plain-c"], "plain", "c", "draining", 0)
+		time.Sleep(1200 * time.Millisecond)
+		if r := w.ask("a1", http.MethodGet, "/south/x", "s2"); r.status != 503 || w.runs("s2") != 0 {
+			t.Errorf("without a server in its region: got %d, %d runs", r.status, w.runs("s2"))
+		}
+	})
+}
+
+// Leaving servers, and those of a failure domain that is taken out, get nothing new after
+// the bounds of the platform.
+func TestLeavingAndTakenOut(t *testing.T) {
+	play(t, func(w *world) {
+		w.register(w.servers["plain-a"], "plain", "a", "draining", 0)
+		time.Sleep(2 * time.Second)
+		if r := w.ask("a1", http.MethodGet, "/read/x", "l1"); r.status != 200 || len(w.servers["plain-a"].Runs()) != 0 {
+			t.Errorf("got %d, the leaving server ran %v", r.status, w.servers["plain-a"].Runs())
+		}
+		before := len(w.servers["plain-b"].Runs())
+		w.store.Put("op", "evacuate/b", map[string]any{})
+		time.Sleep(time.Second)
+		for i := range 4 {
+			w.ask("b1", http.MethodGet, "/read/x", fmt.Sprint("e", i))
+			w.draft("b1", "/draft/x", fmt.Sprint("ed", i))
+		}
+		for _, s := range []string{"plain-b", "encode-b", "rank-b", "model-b"} {
+			n := len(w.servers[s].Runs()) + len(w.servers[s].Calls())
+			if s == "plain-b" {
+				n -= before
+			}
+			if n != 0 {
+				t.Errorf("%s got %d requests after its domain was taken out", s, n)
+			}
+		}
+	})
+}
+
+// A new version is in force at once, also on a node that the store turns away, which
+// learns it from its peers; and it never reverts.
+func TestConfigurationThroughPeers(t *testing.T) {
+	play(t, func(w *world) {
+		w.store.Refuse("10.0.0.3", true)
+		w.configure(5, func(c map[string]any) { c["tenants"] = []any{map[string]any{"name": "org", "api-keys": []string{"new"}}} })
+		time.Sleep(2400 * time.Millisecond)
+		for _, n := range []string{"a1", "b1", "c1"} {
+			if r := w.ask(n, http.MethodGet, "/read/x", "old"+n); r.status != 401 {
+				t.Errorf("old key at %s: got %d, want 401", n, r.status)
+			}
+			if r := w.ask(n, http.MethodGet, "/read/x", "new"+n, "Api-Key", "new"); r.status != 200 {
+				t.Errorf("new key at %s: got %d, want 200", n, r.status)
+			}
+		}
+		w.configure(4, nil)
+		time.Sleep(2 * time.Second)
+		if r := w.ask("a1", http.MethodGet, "/read/x", "back"); r.status != 401 {
+			t.Errorf("an older version came into force: got %d", r.status)
+		}
+	})
+}
+
+// The store loses its history; what changed meanwhile is known after a new read.
+func TestHistoryLost(t *testing.T) {
+	play(t, func(w *world) {
+		w.store.Forget()
+		w.register(w.servers["plain-a"], "plain", "a", "draining", 0)
+		time.Sleep(2 * time.Second)
+		w.ask("a1", http.MethodGet, "/read/x", "h1")
+		if n := len(w.servers["plain-a"].Runs()); n != 0 {
+			t.Errorf("the leaving server ran %d requests", n)
+		}
+		if len(w.log.with("store_history_lost")) == 0 {
+			t.Error("no line says that the history was lost")
+		}
+	})
+}
+
+// Entries that no server wrote name none to use, and the others hold.
+func TestForeignEntries(t *testing.T) {
+	play(t, func(w *world) {
+		w.store.PutBytes("servers", "junk", []byte("\x00{"))
+		w.store.Put("servers", "typed", map[string]any{"service": 7, "address": true})
+		w.store.Put("servers", "state", map[string]any{"service": "plain", "address": "10.1.0.99:80", "zone": "a", "state": "dancing"})
+		w.store.PutBytes("op", "config", []byte("no configuration"))
+		time.Sleep(2 * time.Second)
+		if r := w.ask("a1", http.MethodGet, "/read/x", "j1"); r.status != 200 {
+			t.Errorf("got %d, want 200", r.status)
+		}
+		if len(w.log.with("server_entry_unreadable", "junk")) == 0 || len(w.log.with("configuration_unreadable")) == 0 {
+			t.Error("unreadable entries leave no line")
+		}
+	})
+}
+
+// A planned stop cuts no request: those in progress end, and new ones are still answered
+// until the balancer has noticed.
+func TestPlannedStop(t *testing.T) {
+	play(t, func(w *world) {
+		var g sync.WaitGroup
+		var running, late reply
+		w.servers["model-a"].Gap, w.servers["model-b"].Gap = 500*time.Millisecond, 500*time.Millisecond
+		g.Go(func() { running = w.draft("a1", "/draft/x", "p1", "X-Bergamotspring-Deadline-Ms", "7000") })
+		time.Sleep(100 * time.Millisecond)
+		w.nodes["a1"].stop()
+		time.Sleep(time.Second)
+		g.Go(func() { late = w.ask("a1", http.MethodGet, "/read/x", "p2") })
+		g.Wait()
+		if running.status != 200 || running.body != events(6) {
+			t.Errorf("request in progress: got %d %v %q", running.status, running.err, running.body)
+		}
+		if late.status != 200 || !late.close {
+			t.Errorf("request during the stop: got %d, connection closed: %v, want 200 and closed", late.status, late.close)
+		}
+		if got := strings.Join(w.store.Keys("nodes"), " "); strings.Contains(got, "10.0.0.1:") {
+			t.Errorf("the stopping node is still registered: %s", got)
+		}
+	})
+}
+
+// Cold model servers get no more than they bear, from all nodes together.
+func TestColdServers(t *testing.T) {
+	play(t, func(w *world) {
+		for _, d := range []string{"a", "b", "c"} {
+			w.register(w.servers["model-"+d], "model", d, "ready", 20*time.Second)
+		}
+		time.Sleep(1200 * time.Millisecond)
+		var g sync.WaitGroup
+		for i := range 40 {
+			g.Go(func() { w.draft([]string{"a1", "a2", "b1", "c1"}[i%4], "/draft/x", fmt.Sprint("k", i)) })
+			time.Sleep(10 * time.Millisecond)
+		}
+		g.Wait()
+		for _, d := range []string{"a", "b", "c"} {
+			// 40 requests end within 4 s; each server bears 5 a second.
+			if n := len(w.servers["model-"+d].Runs()); n > 4*5 {
+				t.Errorf("model-%s ran %d requests while cold", d, n)
+			}
+		}
+	})
+}
+
+// A silent server holds no caller beyond its time limit.
+func TestTimeLimit(t *testing.T) {
+	play(t, func(w *world) {
+		w.servers["plain-a"].Next(outside.FaultMute)
+		r := w.ask("a1", http.MethodPost, "/file/x", "gone", "X-Bergamotspring-Deadline-Ms", "300")
+		if r.status != 504 {
+			t.Errorf("got %d, want 504 at the time limit", r.status)
+		}
+		if r.took > 320*time.Millisecond {
+			t.Errorf("answered after %v, want within the time limit", r.took)
+		}
+	})
+}
--- /dev/null
+++ b/io/edge/world_test.go
@@ -0,0 +1,299 @@
+package edge
+
+// This file builds a small fleet for tests: nodes in two regions against stand-ins of the
+// platform on an in-memory network, under a fake clock.
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"bergamotspring/io/standin"
+	"bergamotspring/platform"
+	outside "bergamotspring/platform/standin"
+)
+
+const storeAddress = "10.9.0.1:700"
+
+// domains of the fleet, with their regions.
+var domains = map[string]string{"a": "north", "b": "north", "c": "south"}
+
+// world is a fleet with everything around it.
+type world struct {
+	t       *testing.T
+	net     *standin.Network
+	store   *outside.Store
+	results *outside.Results
+	nodes   map[string]*running
+	servers map[string]*outside.Server
+	https   []*http.Server
+	wait    sync.WaitGroup
+	log     *lines
+}
+
+// running is a node under way.
+type running struct {
+	node *Node
+	stop context.CancelFunc
+	done chan error
+}
+
+// lines collects the log of all nodes.
+type lines struct {
+	mu sync.Mutex
+	l  []string
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.l = append(l.l, strings.TrimSpace(string(b)))
+	return len(b), nil
+}
+
+// with returns the lines that hold all words.
+func (l *lines) with(words ...string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var got []string
+	for _, x := range l.l {
+		all := true
+		for _, w := range words {
+			all = all && strings.Contains(x, w)
+		}
+		if all {
+			got = append(got, x)
+		}
+	}
+	return got
+}
+
+// play runs f on a fleet of nodes a1, a2, b1 and c1 with the usual configuration.
+func play(t *testing.T, f func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{
+			t: t, store: &outside.Store{}, results: &outside.Results{}, nodes: map[string]*running{},
+			servers: map[string]*outside.Server{}, log: &lines{},
+			net: &standin.Network{Latency: func(from, to string) time.Duration { return time.Millisecond }},
+		}
+		w.serve(storeAddress, w.store)
+		w.configure(1, nil)
+		w.addServers()
+		for i, n := range []string{"a1", "a2", "b1", "c1"} {
+			w.start(n, fmt.Sprintf("10.0.0.%d", i+1))
+			time.Sleep(10 * time.Millisecond) // registrations in this order
+		}
+		time.Sleep(time.Second)
+		f(w)
+		w.close()
+	})
+}
+
+func (w *world) serve(address string, h http.Handler) {
+	l, err := w.net.Listen(address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	w.https = append(w.https, s)
+	w.wait.Go(func() { _ = s.Serve(l) }) // ends with close
+}
+
+// addServers starts a plain server and one of each kind in each domain.
+func (w *world) addServers() {
+	n := 0
+	for _, d := range []string{"a", "b", "c"} {
+		for _, service := range []string{"plain", "encode", "rank", "model"} {
+			n++
+			s := &outside.Server{ID: service + "-" + d, Address: fmt.Sprintf("10.1.0.%d:80", n), Results: w.results, Work: 20 * time.Millisecond}
+			switch service {
+			case "encode", "rank":
+				s.CallTime, s.PieceTime, s.Room = 200*time.Millisecond, 10*time.Millisecond, 12
+			case "model":
+				s.Events, s.Gap = 6, 50*time.Millisecond
+			}
+			w.servers[s.ID] = s
+			w.serve(s.Address, s)
+			w.register(s, service, d, "ready", 0)
+		}
+	}
+}
+
+func (w *world) register(s *outside.Server, service, domain, state string, cold time.Duration) {
+	w.store.Put("servers", s.ID, map[string]any{
+		"service": service, "address": s.Address, "zone": domain, "slots": 6, "state": state,
+		"cold-left-ms": cold.Milliseconds(), "sequence": 1,
+	})
+}
+
+// configure writes a configuration; change may alter it first.
+func (w *world) configure(version int, change func(map[string]any)) {
+	stages := []any{
+		map[string]any{"service": "encode", "after": []int{}, "size-bytes": 1000000},
+		map[string]any{"service": "rank", "after": []int{0}, "size-bytes": 1000000},
+	}
+	pieces := map[string]any{"slots": 1, "queue": 2, "batch": 8, "call-ms": 200, "item-ms": 10, "headroom-mb": 12, "handle-s": 4, "link-mbps": 1000}
+	route := func(name, prefix, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": "fleet.example", "prefix": prefix, "route-kind": kind, "service": service, "timeout-ms": 4000,
+			"latency-goal-ms": 1000, "priority": 1, "max-attempts": 2, "public": false, "home-regions": []string{},
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	c := map[string]any{
+		"version": version,
+		"route-table": []any{
+			route("read", "/read/", "safe", "plain", nil),
+			route("file", "/file/", "unsafe", "plain", map[string]any{"max-attempts": 1}),
+			route("south", "/south/", "safe", "plain", map[string]any{"home-regions": []string{"south"}}),
+			route("draft", "/draft/", "streaming", "model", map[string]any{"stages": stages, "resumable": true, "itl-target-ms": 400, "sticky": true}),
+			route("once", "/once/", "streaming", "model", map[string]any{"stages": stages, "resumable": false, "max-attempts": 1, "sticky": true}),
+		},
+		"services": []any{
+			map[string]any{"name": "plain", "max-conns": 100},
+			map[string]any{"name": "encode", "max-conns": 100, "segments": pieces},
+			map[string]any{"name": "rank", "max-conns": 100, "segments": pieces},
+			map[string]any{"name": "model", "max-conns": 100, "cold-start-s": 3, "cold-per-s": 5, "engine": map[string]any{"slots": 8, "kv-capacity": 100000}},
+		},
+		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1000, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"tenants": []any{map[string]any{"name": "org", "api-keys": []string{"key"}}},
+	}
+	if change != nil {
+		change(c)
+	}
+	w.store.Put("op", "config", c)
+}
+
+// start starts a node whose name begins with its failure domain.
+func (w *world) start(name, ip string) {
+	at := func(port string) string { return net.JoinHostPort(ip, port) }
+	s := &platform.Settings{
+		Node: name, Domain: name[:1], Region: domains[name[:1]], Domains: domains, Store: storeAddress,
+		Callers: at("80"), Readiness: at("81"), Peer: at("90"), Metrics: at("91"), Memory: 1 << 28, Grace: 8 * time.Second,
+		RepeatRatio: 0.2, RepeatSlack: 70, RepeatWindow: 10 * time.Second,
+	}
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(w.log), zap.InfoLevel))
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{stop: stop, done: make(chan error, 1), node: &Node{
+		Settings: s, Log: log.With(zap.String("node", name)), Dial: w.net.Dialer(ip), Listen: func(_, address string) (net.Listener, error) { return w.net.Listen(address) },
+	}}
+	w.nodes[name] = r
+	go func() { r.done <- r.node.Run(ctx) }()
+}
+
+// kill makes a node vanish as by SIGKILL: its connections break, dials are refused.
+func (w *world) kill(name string) {
+	ip, _, _ := net.SplitHostPort(w.nodes[name].node.Settings.Peer)
+	w.net.SetHost(ip, standin.HostRefuses)
+}
+
+func (w *world) close() {
+	for _, r := range w.nodes {
+		r.stop()
+	}
+	for _, r := range w.nodes {
+		<-r.done
+		r.node.home.work.Wait()
+	}
+	for _, s := range w.https {
+		_ = s.Close()
+	}
+	w.net.Close()
+	w.wait.Wait()
+}
+
+// reply is what a caller saw.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	close  bool  // the connection is not kept
+	err    error // the connection broke
+	took   time.Duration
+}
+
+// ask sends a request to a node and returns what came of it.
+func (w *world) ask(node, method, path, id string, more ...string) reply {
+	s := w.nodes[node].node.Settings
+	t := &http.Transport{DialContext: w.net.Dialer("10.8.0.1"), DisableCompression: true}
+	defer t.CloseIdleConnections()
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("body of " + id)
+	}
+	r, err := http.NewRequest(method, "http://"+s.Callers+path, body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Host = "fleet.example"
+	r.Header.Set("X-Bergamotspring-Request-Id", id)
+	r.Header.Set("X-Bergamotspring-Deadline-Ms", "4000")
+	r.Header.Set("Api-Key", "key")
+	for i := 0; i+1 < len(more); i += 2 {
+		r.Header.Set(more[i], more[i+1])
+	}
+	start := time.Now()
+	a, err := t.RoundTrip(r)
+	if err != nil {
+		return reply{err: err, took: time.Since(start)}
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(a.Body)
+	return reply{status: a.StatusCode, close: a.Close, header: a.Header, body: string(b), err: err, took: time.Since(start)}
+}
+
+// draft asks for a stream with two stages.
+func (w *world) draft(node, path, id string, more ...string) reply {
+	h := []string{
+		"X-Bergamotspring-Model", "m", "X-Bergamotspring-Token-Usage", "1000,50", "X-Bergamotspring-Prefix-Hash", "aa:800,bb" + id + ":200",
+		"X-Bergamotspring-Chunks", "2,3", "X-Bergamotspring-Chunk-Key", "k" + id,
+	}
+	return w.ask(node, http.MethodPost, path, id, append(h, more...)...)
+}
+
+// fault makes the first of the next requests to any model server meet a fault.
+func (w *world) fault(f outside.Fault) {
+	var once sync.Once
+	for _, d := range []string{"a", "b", "c"} {
+		w.servers["model-"+d].Shared = func() outside.Fault {
+			x := outside.FaultNone
+			once.Do(func() { x = f })
+			return x
+		}
+	}
+}
+
+// events is the whole stream of a model server.
+func events(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// runs counts the runs of a request at all servers.
+func (w *world) runs(id string) int {
+	n := 0
+	for _, s := range w.servers {
+		for _, r := range s.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -100,7 +100,7 @@
 	defer cancel()
 	d := p.Dial
 	if d == nil {
-		d = Dial
+		d = func(ctx context.Context, address string) (net.Conn, error) { return Dial(ctx, "tcp", address) }
 	}
 	n, err := d(ctx, address)
 	if err != nil {
@@ -154,7 +154,7 @@
 }
 
 // Dial opens a TCP connection on which silence of the other end is found in seconds.
-func Dial(ctx context.Context, address string) (net.Conn, error) {
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		Control: func(_, _ string, c syscall.RawConn) error {
@@ -165,7 +165,7 @@
 			return errors.Join(e, err)
 		},
 	}
-	return d.DialContext(ctx, "tcp", address)
+	return d.DialContext(ctx, network, address)
 }
 
 // quiet reports whether an idle connection is open and has nothing to read.
