--- /dev/null
+++ b/core/budget/budget_test.go
@@ -0,0 +1,54 @@
+package budget
+
+import (
+	"testing"
+	"time"
+)
+
+// In no window are there more repeats than the slack and the ratio allow.
+func TestRepeats(t *testing.T) {
+	b := Repeats{Ratio: 0.2, Slack: 3, Window: 10 * time.Second}
+	now := time.Unix(0, 0)
+	var sent []time.Time
+	for range 400 {
+		now = now.Add(100 * time.Millisecond)
+		if b.Take(now) {
+			sent = append(sent, now)
+		}
+	}
+	for i := range sent {
+		n := 0
+		for _, s := range sent[i:] {
+			if s.Sub(sent[i]) < b.Window {
+				n++
+			}
+		}
+		if n > 3 {
+			t.Fatalf("%d repeats within %v after %v, want at most 3", n, b.Window, sent[i])
+		}
+	}
+	if len(sent) < 9 {
+		t.Errorf("got %d repeats in 40 s, want 3 in each window", len(sent))
+	}
+}
+
+func TestRatioFollowsFirstSends(t *testing.T) {
+	b := Repeats{Ratio: 0.2, Window: 10 * time.Second}
+	now := time.Unix(0, 0)
+	if b.Take(now) {
+		t.Error("a repeat without any first send")
+	}
+	for range 10 {
+		b.First(now)
+	}
+	got := 0
+	for b.Take(now) {
+		got++
+	}
+	if got != 2 {
+		t.Errorf("got %d repeats for 10 first sends, want 2", got)
+	}
+	if b.Take(now.Add(11 * time.Second)) {
+		t.Error("first sends of an earlier window still count")
+	}
+}
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,415 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotspring/core/relay"
+)
+
+// bench is a home with a clock that tests move and servers that do what tests say.
+type bench struct {
+	t       *testing.T
+	home    Home
+	now     time.Time
+	servers []*relay.Server
+	config  *relay.Configuration
+	calls   []Call
+	frees   []Free
+	looks   []Look
+	answers []Answer
+	handles int
+}
+
+const mega = 1 << 20
+
+// newBench returns a home of region r with servers of an encode service and model servers
+// in the failure domains a and b.
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, now: time.Unix(1000, 0)}
+	b.config = &relay.Configuration{Version: 1, Services: map[string]*relay.Service{
+		"encode": {Name: "encode", Pieces: &relay.PieceWork{
+			Calls: 1, Batch: 8, CallTime: 200 * time.Millisecond, PieceTime: 20 * time.Millisecond, RoomBytes: 12 * mega, Keep: 4 * time.Second,
+		}},
+		"rank": {Name: "rank", Pieces: &relay.PieceWork{
+			Calls: 1, Batch: 16, CallTime: 200 * time.Millisecond, PieceTime: 10 * time.Millisecond, RoomBytes: 12 * mega, Keep: 4 * time.Second,
+		}},
+		"model": {Name: "model", ColdRate: 10, Engine: &relay.Engine{Slots: 8}},
+	}}
+	for _, d := range []string{"a", "b"} {
+		for _, s := range []string{"encode", "rank", "model"} {
+			b.servers = append(b.servers, &relay.Server{ID: s + "-" + d, Service: s, Address: s + d + ":1", Domain: d, Region: "r"})
+		}
+	}
+	b.home = Home{Now: func() time.Time { return b.now }, View: b.view, Region: "r"}
+	return b
+}
+
+func (b *bench) view() *relay.View { return relay.NewView(b.config, b.servers, nil) }
+
+// only keeps the servers with these ids.
+func (b *bench) only(ids ...string) {
+	var l []*relay.Server
+	for _, s := range b.servers {
+		for _, id := range ids {
+			if s.ID == id {
+				l = append(l, s)
+			}
+		}
+	}
+	b.servers = l
+}
+
+// take collects what the home wants done, and answers its looks: all room is free.
+func (b *bench) take() {
+	for {
+		w := b.home.Take()
+		b.calls = append(b.calls, w.Calls...)
+		b.frees = append(b.frees, w.Frees...)
+		b.answers = append(b.answers, w.Answers...)
+		b.looks = append(b.looks, w.Looks...)
+		if len(w.Looks) == 0 {
+			return
+		}
+		for _, l := range w.Looks {
+			b.home.Looked(l.Number, MessageDone, 12*mega)
+		}
+	}
+}
+
+// ask asks for a place with n pieces of one encode stage.
+func (b *bench) ask(id string, n int, bytes int64, change func(*Ask)) {
+	a := Ask{
+		ID: id, Service: "model", Key: "key-" + id, Tokens: 500, Goal: 2 * time.Second, Left: 4 * time.Second,
+		Stages: []StageAsk{{Service: "encode", ResultBytes: bytes, Pieces: n}},
+	}
+	if change != nil {
+		change(&a)
+	}
+	b.home.Ask(a)
+	b.take()
+}
+
+// done ends the oldest call; each piece is made.
+func (b *bench) done() Call {
+	if len(b.calls) == 0 {
+		b.t.Fatal("no call to end")
+	}
+	c := b.calls[0]
+	b.calls = b.calls[1:]
+	l := make([]PieceResult, len(c.Pieces))
+	for i := range l {
+		b.handles++
+		l[i].Handle = fmt.Sprintf("%s/%d", c.Server.Address, b.handles)
+	}
+	b.home.Called(c.Number, CallDone, l)
+	b.take()
+	return c
+}
+
+// end ends the oldest call in another way.
+func (b *bench) end(e CallEnd, l []PieceResult) Call {
+	c := b.calls[0]
+	b.calls = b.calls[1:]
+	b.home.Called(c.Number, e, l)
+	b.take()
+	return c
+}
+
+func (b *bench) pass(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.home.Tick()
+	b.take()
+}
+
+// requests returns which requests have pieces in a call, in order.
+func requests(c Call) string {
+	s := ""
+	for _, p := range c.Pieces {
+		if len(s) == 0 || s[len(s)-1:] != p.Request {
+			s += p.Request
+		}
+	}
+	return s
+}
+
+func (b *bench) want(what string, got, want any) {
+	b.t.Helper()
+	if got != want {
+		b.t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+// What waits while a server works goes into its next call together.
+func TestBatchCollectsWhatWaits(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	b.ask("1", 1, 1000, nil)
+	for _, id := range []string{"2", "3", "4"} {
+		b.ask(id, 2, 1000, nil)
+	}
+	b.want("calls at first", len(b.calls), 1)
+	b.done()
+	b.want("pieces in the next call", len(b.calls[0].Pieces), 6)
+}
+
+// A call holds no more pieces than the service takes, and a stage's pieces stay together.
+func TestBatchKeepsStagesWhole(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	b.ask("1", 1, 1000, nil)
+	for _, id := range []string{"2", "3", "4"} {
+		b.ask(id, 3, 1000, nil)
+	}
+	b.done()
+	b.want("first call", requests(b.calls[0]), "23")
+	b.done()
+	b.want("second call", requests(b.calls[0]), "4")
+}
+
+// The more urgent rank goes first; within it what can still be in time, then what has
+// the least time to spare.
+func TestOrder(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	b.ask("1", 8, 1000, nil)
+	b.ask("2", 8, 1000, func(a *Ask) { a.Rank = 2 })
+	b.ask("3", 8, 1000, func(a *Ask) { a.Rank, a.Goal = 1, 10*time.Millisecond })
+	b.ask("4", 8, 1000, func(a *Ask) { a.Rank, a.Goal = 1, 3*time.Second })
+	b.ask("5", 8, 1000, func(a *Ask) { a.Rank, a.Goal = 1, 2500*time.Millisecond })
+	got := ""
+	for range 5 {
+		got += requests(b.calls[0])
+		b.done()
+	}
+	b.want("order", got, "15432")
+}
+
+// Results take room from the call on; it is free again when the server has confirmed.
+func TestRoom(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	b.ask("1", 8, mega, nil)
+	b.done()
+	b.want("granted", b.answers[0].Granted(), true)
+	b.ask("2", 8, mega, nil)
+	b.want("calls without room for all pieces", len(b.calls), 0)
+	b.home.Ran("1", "model-a", RunStarted)
+	b.take()
+	b.want("frees at the first event", len(b.frees), 1)
+	b.want("calls before the free is confirmed", len(b.calls), 0)
+	b.home.Freed(b.frees[0].Number, MessageDone)
+	b.take()
+	b.want("calls after", len(b.calls), 1)
+}
+
+// Small results overtake large ones that wait for room.
+func TestSmallResultsOvertake(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	b.ask("1", 8, mega, nil)
+	b.done()
+	b.ask("2", 8, mega, nil)
+	b.ask("3", 1, 1000, func(a *Ask) { a.Rank = 1 })
+	if len(b.calls) != 1 || requests(b.calls[0]) != "3" {
+		t.Errorf("got calls %v, want one with request 3", b.calls)
+	}
+}
+
+// Results that could not be freed count until the server drops them by itself.
+func TestResultsLapse(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	b.ask("1", 8, mega, nil)
+	b.done()
+	b.home.Ran("1", "model-a", RunDone)
+	b.take()
+	b.home.Freed(b.frees[0].Number, MessageFailed)
+	b.take()
+	b.want("frees at once after one failed", len(b.frees), 1)
+	b.ask("2", 8, mega, func(a *Ask) { a.Left, a.Goal = 20*time.Second, 10*time.Second })
+	b.pass(300 * time.Millisecond)
+	b.want("frees after the pause", len(b.frees), 2)
+	b.home.Freed(b.frees[1].Number, MessageFailed)
+	b.pass(4 * time.Second)
+	b.want("calls after the results lapsed", len(b.calls), 1)
+}
+
+// A free to a server whose process ended is not sent again, and does not keep the server
+// from work after its return.
+func TestFreeToEndedServer(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	b.ask("1", 8, mega, nil)
+	b.done()
+	b.home.Ran("1", "model-a", RunDone)
+	b.take()
+	b.home.Freed(b.frees[0].Number, MessageRefused)
+	b.take()
+	b.ask("2", 8, mega, func(a *Ask) { a.Left = 6 * time.Second })
+	for range 10 {
+		b.pass(100 * time.Millisecond)
+	}
+	b.want("frees", len(b.frees), 1)
+	b.want("calls after the pause", len(b.calls), 1)
+}
+
+// The results of a server whose process ended are made again elsewhere.
+func TestLostResultsAreMadeAgain(t *testing.T) {
+	b := newBench(t)
+	b.ask("1", 1, 1000, func(a *Ask) {
+		a.Stages = append(a.Stages, StageAsk{Service: "rank", After: []int{0}, ResultBytes: 1000, Pieces: 1})
+	})
+	first := b.done()
+	rank := b.calls[0]
+	b.want("next stage", rank.Server.Service, "rank")
+	b.want("its input", rank.Pieces[0].Inputs[0], first.Server.Address+"/1")
+	b.end(CallDone, []PieceResult{{End: PieceGone}})
+	again := b.calls[0]
+	b.want("made again", again.Server.Service, "encode")
+	b.done()
+	b.done()
+	b.want("granted", b.answers[0].Granted(), true)
+}
+
+// A broken call is followed by a question that shows whether the process still runs.
+func TestBrokenCallShowsCrash(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "encode-b", "model-a")
+	b.ask("1", 1, 1000, nil)
+	c := b.calls[0]
+	b.calls = nil
+	b.home.Called(c.Number, CallBroken, nil)
+	w := b.home.Take()
+	if len(w.Looks) != 1 || w.Looks[0].Server.ID != c.Server.ID {
+		t.Fatalf("got looks %v, want one at %s", w.Looks, c.Server.ID)
+	}
+	if len(w.Calls) != 1 || w.Calls[0].Server.ID == c.Server.ID {
+		t.Errorf("got calls %v, want the piece at the other server", w.Calls)
+	}
+}
+
+// What cannot be in time is refused at once, with a time to come back.
+func TestAdmission(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	for i := range 12 {
+		b.ask(fmt.Sprint("x", i), 8, 1000, func(a *Ask) { a.Left, a.Goal = 60*time.Second, 50*time.Second })
+	}
+	b.answers = nil
+	b.ask("y", 8, 1000, nil)
+	if len(b.answers) != 1 || b.answers[0].Granted() || b.answers[0].RetryAfter < retryMin {
+		t.Errorf("got %+v, want one refusal with a time to come back", b.answers)
+	}
+	b.answers = nil
+	b.ask("z", 8, 1000, func(a *Ask) { a.Rank = -1 })
+	b.want("answers to a request that goes before all", len(b.answers), 0)
+}
+
+// A request that waits is refused as soon as it cannot be in time any more, and what it
+// holds is freed.
+func TestLateIsRefused(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "rank-a", "model-a")
+	b.ask("1", 2, mega, func(a *Ask) {
+		a.Stages = append(a.Stages, StageAsk{Service: "rank", After: []int{0}, ResultBytes: 1000, Pieces: 1})
+	})
+	b.done()
+	b.pass(3900 * time.Millisecond)
+	if len(b.answers) != 1 || b.answers[0].Granted() {
+		t.Fatalf("got %+v, want a refusal", b.answers)
+	}
+	b.want("frees", len(b.frees), 1)
+	b.want("handles freed", len(b.frees[0].Handles), 2)
+}
+
+// A withdrawn request holds nothing, also not the results of its call in progress.
+func TestWithdraw(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	b.ask("1", 2, mega, nil)
+	b.home.Withdraw("1")
+	b.take()
+	b.done()
+	b.want("frees of what was made for nobody", len(b.frees), 1)
+}
+
+// A cold model server gets its share of the rate that it bears and no more.
+func TestColdRate(t *testing.T) {
+	b := newBench(t)
+	b.only("model-a")
+	b.servers[0].ColdTil = b.now.Add(time.Minute)
+	granted := 0
+	for i := range 40 {
+		b.ask(fmt.Sprint("c", i), 0, 0, nil)
+		b.pass(20 * time.Millisecond)
+	}
+	for _, a := range b.answers {
+		if a.Granted() {
+			granted++
+		}
+	}
+	// 0.8 s at 0.4 of 10 a second.
+	b.want("grants", granted, 4)
+}
+
+// Requests that share a prompt go to one server, and fetch the prompt where it was read
+// if load drives them elsewhere.
+func TestPromptGroups(t *testing.T) {
+	b := newBench(t)
+	shared := func(a *Ask) { a.Parts = []Part{{Hash: 7, Tokens: 500}, {Hash: 9, Tokens: 900}} }
+	b.ask("1", 0, 0, shared)
+	home := b.answers[0].Server.ID
+	b.home.Ran("1", home, RunStarted)
+	b.home.Ran("1", home, RunDone)
+	b.ask("2", 0, 0, shared)
+	b.want("second request's server", b.answers[1].Server.ID, home)
+	b.want("second request's fetch", b.answers[1].Fetch, "")
+	b.ask("3", 0, 0, func(a *Ask) { shared(a); a.Avoid = []string{home} })
+	if b.answers[2].Server.ID == home || b.answers[2].Fetch == "" {
+		t.Errorf("got %+v, want another server that fetches from %s", b.answers[2], home)
+	}
+}
+
+// A model server that broke off a request is left alone for a while.
+func TestBrokenEngineRests(t *testing.T) {
+	b := newBench(t)
+	b.only("model-a", "model-b")
+	b.ask("1", 0, 0, nil)
+	bad := b.answers[0].Server.ID
+	b.home.Ran("1", bad, RunBroken)
+	b.ask("2", 0, 0, nil)
+	if b.answers[1].Server.ID == bad {
+		t.Errorf("%s got the next request", bad)
+	}
+}
+
+// A large result that only the model server needs is made when the longer chain of the
+// other stages nears its end.
+func TestLargeResultsWait(t *testing.T) {
+	b := newBench(t)
+	b.ask("1", 1, mega, func(a *Ask) {
+		a.Goal, a.Left = 5*time.Second, 8*time.Second
+		a.Stages = append(a.Stages,
+			StageAsk{Service: "encode", ResultBytes: 100, Pieces: 1},
+			StageAsk{Service: "rank", After: []int{1}, ResultBytes: 100, Pieces: 48},
+			StageAsk{Service: "rank", After: []int{2}, ResultBytes: 100, Pieces: 48})
+	})
+	for _, c := range b.calls {
+		for _, p := range c.Pieces {
+			if p.Stage == 0 {
+				t.Error("the large result is made first")
+			}
+		}
+	}
+}
+
+func ExampleHome() {
+	server := &relay.Server{ID: "model-1", Service: "model", Address: "10.0.0.1:80", Region: "north"}
+	view := relay.NewView(&relay.Configuration{Services: map[string]*relay.Service{"model": {Name: "model"}}}, []*relay.Server{server}, nil)
+	h := Home{Now: time.Now, View: func() *relay.View { return view }, Region: "north"}
+	h.Ask(Ask{ID: "r1", Service: "model", Goal: time.Second, Left: 4 * time.Second})
+	fmt.Println(h.Take().Answers[0].Server.ID)
+	// Output: model-1
+}
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -187,6 +187,7 @@
 		if s == nil || s.Pieces == nil {
 			continue
 		}
+		q.lapse(s.Pieces, h.Now())
 		for _, m := range h.usable(q, s.Pieces) {
 			if len(q.waiting) == 0 {
 				break
--- a/core/place/room.go
+++ b/core/place/room.go
@@ -40,7 +40,6 @@
 	for _, q := range h.sorted() {
 		for _, id := range slices.Sorted(maps.Keys(q.makers)) {
 			m := q.makers[id]
-			h.lapse(q, m, now)
 			if m.freeing || len(m.freeable) == 0 || now.Before(m.freeAt) {
 				continue
 			}
@@ -63,15 +62,13 @@
 	return l
 }
 
-// lapse forgets results that their server has dropped by itself.
-func (h *Home) lapse(q *pool, m *maker, now time.Time) {
-	s := h.View().Config.Services[q.service]
-	if s == nil || s.Pieces == nil || s.Pieces.Keep <= 0 {
-		return
-	}
-	for len(m.freeable) > 0 && now.Sub(m.freeable[0].since) > s.Pieces.Keep {
-		m.reserved -= m.freeable[0].bytes
-		m.freeable = m.freeable[1:]
+// lapse forgets results that their servers have dropped by themselves.
+func (q *pool) lapse(w *relay.PieceWork, now time.Time) {
+	for _, m := range q.makers {
+		for len(m.freeable) > 0 && w.Keep > 0 && now.Sub(m.freeable[0].since) > w.Keep {
+			m.reserved -= m.freeable[0].bytes
+			m.freeable = m.freeable[1:]
+		}
 	}
 }
 
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func config(version int64, routes ...Route) *Configuration {
+	return &Configuration{Version: version, Routes: routes, Services: map[string]*Service{}}
+}
+
+func TestMatch(t *testing.T) {
+	v := NewView(config(1,
+		Route{Name: "short", Host: "h", Prefix: "/a/"},
+		Route{Name: "long", Host: "h", Prefix: "/a/b/"},
+		Route{Name: "other", Host: "o", Prefix: "/"},
+	), nil, nil)
+	for _, c := range []struct{ host, path, want string }{
+		{"h", "/a/x", "short"}, {"h", "/a/b/x", "long"}, {"h", "/a/b", "short"}, {"h", "/ab/", ""}, {"o", "/any", "other"}, {"x", "/a/", ""},
+	} {
+		got := ""
+		if r := v.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: got %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestOrganisation(t *testing.T) {
+	c := config(1)
+	c.Keys = map[string]*Organisation{"k": {Name: "org"}}
+	v := NewView(c, nil, nil)
+	closed, public := &Route{}, &Route{Public: true}
+	for _, x := range []struct {
+		route   *Route
+		key     string
+		name    string
+		allowed bool
+	}{
+		{closed, "k", "org", true}, {closed, "", "", false}, {closed, "no", "", false}, {public, "", "", true}, {public, "k", "org", true},
+	} {
+		o, allowed := v.Organisation(x.route, x.key)
+		name := ""
+		if o != nil {
+			name = o.Name
+		}
+		if name != x.name || allowed != x.allowed {
+			t.Errorf("key %q, public %v: got %q %v", x.key, x.route.Public, name, allowed)
+		}
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}, {"c", 0}}}
+	n := map[string]int{}
+	for i := range 1000 {
+		n[r.Pick(fmt.Sprint(i))]++
+	}
+	if n["a"] < 850 || n["b"] < 50 || n["c"] != 0 {
+		t.Errorf("got %v, want about 900, 100 and 0", n)
+	}
+	if r.Pick("x") != r.Pick("x") {
+		t.Error("one id picks two services")
+	}
+}
+
+// The version of the configuration never falls.
+func TestStockNeverReverts(t *testing.T) {
+	var s Stock
+	s.Install(config(5))
+	if s.Install(config(4)) || s.Install(config(5)) || s.View().Config.Version != 5 {
+		t.Errorf("got version %d, want 5", s.View().Config.Version)
+	}
+	if !s.Install(config(9)) || s.View().Config.Version != 9 {
+		t.Errorf("got version %d, want 9", s.View().Config.Version)
+	}
+}
+
+// Entries that vanish while the store is away have some time to come back.
+func TestLapsedEntries(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := Stock{Now: func() time.Time { return now }}
+	s.Put(&Server{ID: "1", Service: "s"})
+	s.Put(&Server{ID: "2", Service: "s"})
+	s.Returned()
+	s.Drop("1")
+	s.Drop("2")
+	now = now.Add(time.Second)
+	s.Put(&Server{ID: "2", Service: "s"})
+	if n := len(s.View().Servers["s"]); n != 2 {
+		t.Errorf("within the grace: got %d servers, want 2", n)
+	}
+	now = now.Add(lapseGrace)
+	if l := s.View().Servers["s"]; len(l) != 1 || l[0].ID != "2" {
+		t.Errorf("after the grace: got %v, want server 2", l)
+	}
+	s.Drop("2")
+	if n := len(s.View().Servers["s"]); n != 0 {
+		t.Errorf("without an outage an entry that vanishes is gone at once, got %d servers", n)
+	}
+}
+
+func TestViewLeavesOut(t *testing.T) {
+	l := []*Server{{ID: "1", Service: "s", Domain: "a"}, {ID: "2", Service: "s", Domain: "b"}, {ID: "3", Service: "s", Domain: "a", Leaving: true}}
+	v := NewView(config(1), l, map[string]bool{"b": true})
+	if got := v.Servers["s"]; len(got) != 1 || got[0].ID != "1" {
+		t.Errorf("got %v, want server 1 alone", got)
+	}
+}
+
+func TestAllows(t *testing.T) {
+	for _, c := range []struct {
+		route, org []string
+		want       bool
+	}{
+		{nil, nil, true}, {[]string{"r"}, nil, true}, {[]string{"x"}, nil, false}, {nil, []string{"x"}, false}, {[]string{"r"}, []string{"r", "x"}, true}, {[]string{"r"}, []string{"x"}, false},
+	} {
+		if got := Allows(&Route{Regions: c.route}, &Organisation{Regions: c.org}, "r"); got != c.want {
+			t.Errorf("route %v, organisation %v: got %v, want %v", c.route, c.org, got, c.want)
+		}
+	}
+}
+
+// A node prefers near servers, and leaves those that fail, are slow or break off.
+func TestBalance(t *testing.T) {
+	v := NewView(config(1), []*Server{
+		{ID: "near", Service: "s", Domain: "d", Region: "r", Slots: 4},
+		{ID: "next", Service: "s", Domain: "e", Region: "r", Slots: 4},
+		{ID: "far", Service: "s", Domain: "f", Region: "q", Slots: 4},
+	}, nil)
+	all := func(*Server) bool { return true }
+	now := time.Unix(100, 0)
+	pick := func(b *Balance, tried ...string) string {
+		if s := b.Pick(v, "s", "d", "r", now, all, tried); s != nil {
+			return s.ID
+		}
+		return ""
+	}
+	run := func(b *Balance, id string, took time.Duration, failed bool) {
+		for range 10 {
+			b.Begin(id, now)(now.Add(took), failed, false)
+		}
+	}
+	var b Balance
+	if got := pick(&b); got != "near" {
+		t.Errorf("unknown servers: got %s, want near", got)
+	}
+	if got := pick(&b, "near"); got != "next" {
+		t.Errorf("near was tried: got %s, want next", got)
+	}
+	if got := pick(&b, "near", "next", "far"); got != "" {
+		t.Errorf("all were tried: got %s, want none", got)
+	}
+	run(&b, "near", 200*time.Millisecond, false)
+	if got := pick(&b); got != "next" {
+		t.Errorf("near is slow: got %s, want next", got)
+	}
+	var f Balance
+	run(&f, "near", 20*time.Millisecond, true)
+	if got := pick(&f); got != "next" {
+		t.Errorf("near fails: got %s, want next", got)
+	}
+	var p Balance
+	p.Begin("near", now)(now, true, true)
+	p.Pause("near", now)
+	if got := pick(&p); got != "next" {
+		t.Errorf("near broke off: got %s, want next", got)
+	}
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,48 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func names(l []Node) string {
+	s := ""
+	for _, n := range l {
+		s += n.Name
+	}
+	return s
+}
+
+// The oldest registration is home; nodes that did not answer are passed over for a while.
+func TestHomes(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := Roster{Now: func() time.Time { return now }}
+	r.Replace([]Node{
+		{Name: "c", Peer: "3", Region: "r", Order: 30}, {Name: "a", Peer: "1", Region: "r", Order: 10},
+		{Name: "b", Peer: "2", Region: "r", Order: 20}, {Name: "x", Peer: "4", Region: "q", Order: 1},
+	})
+	for _, c := range []struct {
+		what string
+		do   func()
+		want string
+	}{
+		{"all answer", func() {}, "abc"},
+		{"a is silent", func() { r.Suspect("1") }, "bca"},
+		{"a answers again", func() { r.Clear("1") }, "abc"},
+		{"b is silent", func() { r.Suspect("2") }, "acb"},
+		{"long ago", func() { now = now.Add(suspicion) }, "abc"},
+	} {
+		c.do()
+		if got := names(r.Homes("r")); got != c.want {
+			t.Errorf("%s: got %s, want %s", c.what, got, c.want)
+		}
+	}
+}
+
+func ExampleRoster_Homes() {
+	var r Roster
+	r.Replace([]Node{{Name: "young", Peer: "1", Region: "north", Order: 8}, {Name: "old", Peer: "2", Region: "north", Order: 3}})
+	fmt.Println(r.Homes("north")[0].Name)
+	// Output: old
+}
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -277,7 +277,9 @@
 func TestConfigurationThroughPeers(t *testing.T) {
 	play(t, func(w *world) {
 		w.store.Refuse("10.0.0.3", true)
-		w.configure(5, func(c map[string]any) { c["tenants"] = []any{map[string]any{"name": "org", "api-keys": []string{"new"}}} })
+		w.configure(5, func(c map[string]any) {
+			c["tenants"] = []any{map[string]any{"name": "org", "api-keys": []string{"new"}}}
+		})
 		time.Sleep(2400 * time.Millisecond)
 		for _, n := range []string{"a1", "b1", "c1"} {
 			if r := w.ask(n, http.MethodGet, "/read/x", "old"+n); r.status != 401 {
