Leave silent servers and nodes; use what was made when a model server rejects

Now a safe request gives one server 0.4 of its time, a resumable stream leaves a model server that is silent for its goal, a home reuses the results of a request that was not run, and silent nodes are probed beside the requests and passed over until they answer; after 30 s their rows go. TestDarkHome failed first: only the home removed rows, and a home that asks nobody suspects nobody.

--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -71,7 +71,7 @@
 	switch r {
 	case RunStarted, RunDone:
 		e.backoff = 0
-	case RunBroken:
+	case RunBroken, RunUnsent:
 		e.backoff = min(max(2*e.backoff, engineBackoff), engineBackoffMax)
 		e.until = now.Add(e.backoff)
 	}
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -92,6 +92,10 @@
 func (h *Home) Ask(a Ask) {
 	h.init()
 	now := h.Now()
+	if a.Again && !a.Gone && h.again(a) {
+		h.dispatch()
+		return
+	}
 	h.forget(a.ID)
 	j := &job{ask: a, arrived: now, goal: now.Add(a.Goal), limit: now.Add(a.Left)}
 	e := h.chooseEngine(j)
@@ -126,6 +130,26 @@
 	}
 }
 
+// again places a job whose model server did not run it at another one, with the results
+// that it has, and reports whether it still had them.
+func (h *Home) again(a Ask) bool {
+	j := h.jobs[a.ID]
+	if j == nil || j.granted == nil {
+		return false
+	}
+	for _, s := range j.stages {
+		if s.released && len(s.pieces) > 0 && !j.followed(s.index) {
+			return false
+		}
+	}
+	j.ask.Avoid = a.Avoid
+	j.granted.running--
+	j.granted.tokens -= j.ask.Tokens
+	j.granted = nil
+	h.grant(j)
+	return true
+}
+
 // Withdraw forgets a request that nobody waits for.
 func (h *Home) Withdraw(id string) {
 	h.init()
@@ -199,14 +223,11 @@
 // early reports whether the results of a stage would only wait for those of a longer
 // chain of stages, taking room meanwhile.
 func (h *Home) early(j *job, s *jobStage) bool {
-	if s.ask.ResultBytes < localBytes || len(s.ask.After) > 0 {
+	if s.ask.ResultBytes < localBytes || len(s.ask.After) > 0 || j.followed(s.index) {
 		return false
 	}
 	var chain time.Duration
 	for i, f := range j.stages {
-		if slices.Contains(f.ask.After, s.index) {
-			return false
-		}
 		if f != s && f.left > 0 {
 			chain = max(chain, h.path(j, i))
 		}
@@ -248,13 +269,18 @@
 func (j *job) leaves() []string {
 	var l []string
 	for n, s := range j.stages {
-		if !slices.ContainsFunc(j.stages, func(f *jobStage) bool { return slices.Contains(f.ask.After, n) }) {
+		if !j.followed(n) {
 			l = append(l, s.handles()...)
 		}
 	}
 	return l
 }
 
+// followed reports whether another stage needs the results of a stage.
+func (j *job) followed(n int) bool {
+	return slices.ContainsFunc(j.stages, func(f *jobStage) bool { return slices.Contains(f.ask.After, n) })
+}
+
 func (s *jobStage) handles() []string {
 	l := make([]string, 0, len(s.pieces))
 	for _, p := range s.pieces {
@@ -292,12 +318,15 @@
 	if j == nil {
 		return
 	}
-	if r == RunStarted {
+	switch r {
+	case RunStarted:
 		h.prompts.read(j.ask.Parts, server, h.Now())
 		for _, s := range j.stages {
 			h.release(s)
 		}
-	} else {
+	case RunRejected, RunUnsent:
+		// The node asks again, or withdraws.
+	default:
 		h.forget(id)
 	}
 	h.dispatch()
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -26,7 +26,10 @@
 	Left    time.Duration
 	Regions []string // the only ones that may serve it; empty: all
 	Avoid   []string // ids of servers that do not take it
-	Again   bool     // its pieces were made before
+	// Again says that the request was placed before and not run; what was made for it is
+	// used again, unless Gone says that an input did not exist any more.
+	Again bool
+	Gone  bool
 }
 
 // Part is a part of a prompt that other requests share.
@@ -154,6 +157,7 @@
 	RunStarted  RunEnd = iota // the first event came; the inputs are not needed any more
 	RunDone                   // ended well
 	RunRejected               // the server states that it did not run it
+	RunUnsent                 // it could not be reached
 	RunBroken                 // no connection, cut off or silent
 	RunLeft                   // the caller left, or the time limit passed
 )
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -14,8 +14,8 @@
 	"time"
 )
 
-// suspicion is how long a node that did not answer is passed over.
-const suspicion = 2 * time.Second
+// lostAfter is how long a node must not answer to count as gone for good.
+const lostAfter = 30 * time.Second
 
 // Node is a registered node.
 type Node struct {
@@ -33,8 +33,8 @@
 	Now func() time.Time
 
 	mu      sync.Mutex
-	nodes   map[string]Node // by peer address
-	suspect map[string]time.Time
+	nodes   map[string]Node      // by peer address
+	suspect map[string]time.Time // since when a node has not answered
 }
 
 func (r *Roster) now() time.Time {
@@ -52,16 +52,23 @@
 	for _, n := range l {
 		r.nodes[n.Peer] = n
 	}
+	for p := range r.suspect {
+		if _, ok := r.nodes[p]; !ok {
+			delete(r.suspect, p)
+		}
+	}
 }
 
-// Suspect notes that a node did not answer.
+// Suspect notes that a node did not answer. It is passed over until Clear.
 func (r *Roster) Suspect(peer string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.suspect == nil {
 		r.suspect = map[string]time.Time{}
 	}
-	r.suspect[peer] = r.now().Add(suspicion)
+	if _, ok := r.suspect[peer]; !ok {
+		r.suspect[peer] = r.now()
+	}
 }
 
 // Clear notes that a node answered.
@@ -76,7 +83,6 @@
 func (r *Roster) Homes(region string) []Node {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
 	var l []Node
 	for _, n := range r.nodes {
 		if n.Region == region {
@@ -84,19 +90,36 @@
 		}
 	}
 	slices.SortFunc(l, func(a, b Node) int {
-		return cmp.Or(cmp.Compare(r.rank(a, now), r.rank(b, now)), cmp.Compare(a.Order, b.Order))
+		return cmp.Or(cmp.Compare(r.rank(a), r.rank(b)), cmp.Compare(a.Order, b.Order))
 	})
 	return l
 }
 
 // rank puts suspects last. The lock is held.
-func (r *Roster) rank(n Node, now time.Time) int {
-	if now.Before(r.suspect[n.Peer]) {
+func (r *Roster) rank(n Node) int {
+	if _, ok := r.suspect[n.Peer]; ok {
 		return 1
 	}
 	return 0
 }
 
+// Suspects returns the nodes that did not answer, and those of them that count as gone.
+func (r *Roster) Suspects() (silent, lost []Node) {
+	for _, n := range r.All() {
+		r.mu.Lock()
+		since, ok := r.suspect[n.Peer]
+		r.mu.Unlock()
+		if !ok {
+			continue
+		}
+		silent = append(silent, n)
+		if r.now().Sub(since) >= lostAfter {
+			lost = append(lost, n)
+		}
+	}
+	return silent, lost
+}
+
 // All returns all nodes in the order of their names.
 func (r *Roster) All() []Node {
 	r.mu.Lock()
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -170,7 +170,8 @@
 func (n *Node) callers() *http.Server {
 	s := &relay.Server{
 		Protocol: platform.Protocol(), View: n.stock.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
-		Pool: &n.pool, Place: n.placing.place, Ran: n.placing.note, First: n.first, Repeat: n.repeat,
+		Pool: &n.pool, Place: n.placing.place, Ran: n.placing.note,
+		Withdraw: func(id string) { n.placing.note(id, "", place.RunLeft) }, First: n.first, Repeat: n.repeat,
 		Stopping: n.stopping.Load, Log: n.Log,
 	}
 	return &http.Server{
@@ -186,9 +187,9 @@
 	}
 }
 
-// link gets the key of the fleet, serves other nodes, and registers this one.
+// link gets the key of the fleet, serves other nodes, and looks after the registrations.
 func (n *Node) link(ctx context.Context) {
-	key := n.retry(ctx, "peer_key", func() ([]byte, error) { return platform.PeerKey(ctx, &n.store) })
+	key := n.key(ctx)
 	if key == nil {
 		return
 	}
@@ -207,18 +208,17 @@
 		return
 	}
 	n.mesh.Store(m)
-	n.retry(ctx, "register", func() ([]byte, error) { return []byte{}, platform.Register(ctx, &n.store, n.self) })
-	<-ctx.Done()
+	n.members(ctx)
 }
 
-// retry calls f until it succeeds, and returns nil if the context ends before.
-func (n *Node) retry(ctx context.Context, what string, f func() ([]byte, error)) []byte {
+// key returns the key of the fleet, nil if the context ends before it is known.
+func (n *Node) key(ctx context.Context) []byte {
 	for pause := retryMin; ctx.Err() == nil; pause = min(2*pause, retryMax) {
-		b, err := f()
+		k, err := platform.PeerKey(ctx, &n.store)
 		if err == nil {
-			return b
+			return k
 		}
-		n.Log.Warn(what+"_failed", zap.Error(err))
+		n.Log.Warn("peer_key_failed", zap.Error(err))
 		sleep(ctx, pause)
 	}
 	return nil
--- a/io/edge/placing.go
+++ b/io/edge/placing.go
@@ -112,7 +112,9 @@
 	p.mu.Lock()
 	home := p.placed[id]
 	p.mu.Unlock()
-	if e != place.RunStarted {
+	switch e {
+	case place.RunStarted, place.RunRejected, place.RunUnsent:
+	default:
 		p.forget(id)
 	}
 	switch home {
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -390,3 +390,83 @@
 		}
 	})
 }
+
+// A safe request leaves a silent server while there is time for another.
+func TestSilentServerIsLeft(t *testing.T) {
+	play(t, func(w *world) {
+		w.servers["plain-a"].Next(outside.FaultMute)
+		r := w.ask("a1", http.MethodGet, "/read/x", "mute")
+		if r.status != 200 || r.took > 2*time.Second {
+			t.Errorf("got %d after %v, want 200 from another server", r.status, r.took)
+		}
+	})
+}
+
+// A resumable stream leaves a model server that says nothing; one that may not be repeated
+// stays with it.
+func TestSilentModelServer(t *testing.T) {
+	play(t, func(w *world) {
+		w.fault(outside.FaultMute)
+		if r := w.draft("a1", "/draft/x", "m1"); r.status != 200 || r.body != events(6) || w.runs("m1") != 2 {
+			t.Errorf("resumable: got %d %v after %d runs", r.status, r.err, w.runs("m1"))
+		}
+	})
+	play(t, func(w *world) {
+		w.fault(outside.FaultMute)
+		if r := w.draft("a1", "/once/x", "m2"); r.status != 504 || w.runs("m2") != 1 {
+			t.Errorf("not resumable: got %d after %d runs, want 504 after one", r.status, w.runs("m2"))
+		}
+	})
+}
+
+// A request that its model server did not run goes to another one with the pieces that
+// were made for it.
+func TestRejectedByModelServer(t *testing.T) {
+	play(t, func(w *world) {
+		w.fault(outside.FaultReject)
+		if r := w.draft("a1", "/once/x", "rej"); r.status != 200 || r.body != events(6) {
+			t.Errorf("got %d %v %q", r.status, r.err, r.body)
+		}
+		for piece, n := range w.results.Made {
+			if n != 1 {
+				t.Errorf("piece %s was made %d times", piece, n)
+			}
+		}
+		time.Sleep(time.Second)
+		for id := range w.servers {
+			if n := w.results.Held(id); n != 0 {
+				t.Errorf("%s holds %d results after the request ended", id, n)
+			}
+		}
+	})
+}
+
+// The home's machine goes dark: requests that come later are not held up by it, and its
+// row goes in the end.
+func TestDarkHome(t *testing.T) {
+	play(t, func(w *world) {
+		w.net.SetHost("10.0.0.1", standin.HostGone)
+		w.draft("b1", "/draft/x", "first")
+		for i := range 8 {
+			time.Sleep(time.Second)
+			if r := w.draft("b1", "/draft/x", fmt.Sprint("late", i)); r.status != 200 || r.took > 2*time.Second {
+				t.Errorf("request %d: got %d after %v", i, r.status, r.took)
+			}
+		}
+		time.Sleep(40 * time.Second)
+		if got := strings.Join(w.store.Keys("nodes"), " "); strings.Contains(got, "10.0.0.1:") {
+			t.Errorf("the row of the dark node is still there: %s", got)
+		}
+	})
+}
+
+// A node whose row was removed while it could not be reached registers again.
+func TestRegistersAgain(t *testing.T) {
+	play(t, func(w *world) {
+		w.store.Remove("nodes", "10.0.0.2:90")
+		time.Sleep(3 * time.Second)
+		if got := strings.Join(w.store.Keys("nodes"), " "); !strings.Contains(got, "10.0.0.2:90") {
+			t.Errorf("got nodes %s, want 10.0.0.2:90 among them", got)
+		}
+	})
+}
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"bergamotspring/platform"
 )
 
 const (
@@ -40,15 +38,3 @@
 	}
 	return nil
 }
-
-// unregister lets another node become home.
-func (n *Node) unregister(ctx context.Context) {
-	for _, x := range n.roster.All() {
-		if x.Peer != n.self.Peer || x.Incarnation != n.self.Incarnation {
-			continue
-		}
-		if err := platform.Unregister(ctx, &n.store, x); err != nil {
-			n.Log.Warn("unregister_failed", zap.Error(err)) // the others find it silent
-		}
-	}
-}
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// dialTimeout bounds a connect; servers are at most two regions away.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds a connect, a round trip of tens of ms.
+	dialTimeout = 400 * time.Millisecond
 	// silence is after which unacknowledged bytes end a connection.
 	silence = 2 * time.Second
 	// idleTime is how long a connection is kept unused. It is under the idle timeouts of servers.
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -24,6 +24,10 @@
 	heldAnswer = 1 << 20
 	// retryBusy is when a request is worth sending again if its servers were full.
 	retryBusy = 200 * time.Millisecond
+	// attemptShare of the time left is given to one server if another may be asked after
+	// it, and no less than attemptMin.
+	attemptShare = 0.4
+	attemptMin   = 200 * time.Millisecond
 	// repeatReserve is the least time left for which a second server is asked.
 	repeatReserve = 20 * time.Millisecond
 )
@@ -52,7 +56,7 @@
 			return
 		}
 		tried = append(tried, t.ID)
-		a := q.try(ctx, t)
+		a := q.try(ctx, t, runs)
 		if ctx.Err() != nil && a.err != nil {
 			q.ended(ctx)
 			return
@@ -86,16 +90,22 @@
 }
 
 // try sends a request to one server and reads its answer.
-func (q *request) try(ctx context.Context, t *relay.Server) *attempt {
+func (q *request) try(ctx context.Context, t *relay.Server, runs int) *attempt {
 	s := q.server
+	if q.route.Repeatable && runs+1 < q.route.Attempts {
+		c, cancel := context.WithTimeout(ctx, max(attemptMin, time.Duration(attemptShare*float64(q.left()))))
+		defer cancel()
+		ctx = c
+	}
 	done := s.Balance.Begin(t.ID, time.Now())
 	a := q.send(ctx, t, Send{Server: t.ID, Organisation: q.organisation(), Left: q.left()})
 	if a.err == nil {
 		a.read()
 	}
-	failed := a.err != nil && ctx.Err() == nil || a.err == nil && !a.notRun && a.response.Status >= http.StatusInternalServerError
-	done(time.Now(), failed, a.notRun || ctx.Err() != nil)
-	if a.err != nil && ctx.Err() == nil {
+	left := errors.Is(context.Cause(ctx), context.Canceled)
+	failed := a.err != nil && !left || a.err == nil && !a.notRun && a.response.Status >= http.StatusInternalServerError
+	done(time.Now(), failed, a.notRun || left)
+	if a.err != nil && !left {
 		s.Balance.Pause(t.ID, time.Now())
 	}
 	if a.err != nil || a.notRun {
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -19,6 +19,11 @@
 const (
 	// mostPlaces bounds the model servers that one request is sent to.
 	mostPlaces = 4
+	// firstPatience and gapPatience are how many times the goal, and the longest pause on
+	// time, a model server may be silent before a stream is resumed elsewhere.
+	firstPatience = 1
+	gapPatience   = 4
+	leastPatience = time.Second
 	// resumeReserve is the least time left for which a stream is resumed.
 	resumeReserve = 500 * time.Millisecond
 )
@@ -39,7 +44,7 @@
 			q.fail(refusal(g, err), max(g.RetryAfter, retryBusy))
 			return
 		}
-		e := q.run(ctx, out, &g)
+		e := q.run(ctx, out, &g, q.route.Resumable && runs+1 < q.route.Attempts)
 		if ctx.Err() != nil {
 			q.ended(ctx)
 			return
@@ -47,7 +52,7 @@
 		if e == runEnded {
 			return
 		}
-		if e != runNot {
+		if e == runBroken {
 			runs++
 			q.mayRun = true
 		}
@@ -57,11 +62,12 @@
 		if e != runUnsent && !q.server.Repeat(q.service) {
 			break
 		}
-		if e != runNot || !slices.Contains(a.Avoid, g.Server.ID) {
+		if e != runGone {
 			a.Avoid = append(a.Avoid, g.Server.ID)
 		}
-		a.Again = true
+		a.Again, a.Gone = e != runBroken, e == runGone
 	}
+	q.server.Withdraw(q.meta.ID)
 	q.fail("model servers failed", retryBusy)
 }
 
@@ -114,12 +120,23 @@
 	runEnded  runEnd = iota // the caller has the whole answer
 	runUnsent               // nothing arrived at the server
 	runNot                  // the server did not run it
+	runGone                 // nor could it: an input did not exist any more
 	runBroken               // it may have run in part
 )
 
-// run sends the request to a model server and relays its stream.
-func (q *request) run(ctx context.Context, out *stream, g *place.Answer) runEnd {
+// run sends the request to a model server and relays its stream. If it may be resumed
+// elsewhere, a silent server is left.
+func (q *request) run(ctx context.Context, out *stream, g *place.Answer, resume bool) runEnd {
 	s := q.server
+	caller := ctx
+	out.stall = nil
+	if resume {
+		c, cancel := context.WithCancel(ctx)
+		defer cancel()
+		ctx = c
+		out.stall = time.AfterFunc(max(leastPatience, firstPatience*q.route.Goal), cancel)
+		defer out.stall.Stop()
+	}
 	x := Send{
 		Server: g.Server.ID, Organisation: q.organisation(), Left: q.left(), Model: true,
 		Rank: relay.Rank(q.route, q.org), Inputs: g.Inputs, Fetch: g.Fetch, LastEvent: out.last,
@@ -127,24 +144,28 @@
 	a := q.send(ctx, &g.Server, x)
 	defer a.close()
 	switch {
-	case ctx.Err() != nil:
+	case caller.Err() != nil:
 		s.Ran(q.meta.ID, g.Server.ID, place.RunLeft)
 		return runBroken
 	case a.err != nil:
-		s.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
 		q.log("send_failed", zap.String("server", g.Server.ID), zap.Bool("not_run", a.notRun), zap.Error(a.err))
 		if a.notRun {
+			s.Ran(q.meta.ID, g.Server.ID, place.RunUnsent)
 			return runUnsent
 		}
+		s.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
 		return runBroken
 	case a.notRun:
 		s.Ran(q.meta.ID, g.Server.ID, place.RunRejected)
 		q.log("not_run", zap.String("server", g.Server.ID), zap.Int("status", a.response.Status))
+		if a.response.Status == http.StatusConflict {
+			return runGone
+		}
 		return runNot
 	case a.response.Status != http.StatusOK || !q.route.Streamed:
 		return q.whole(a, g)
 	}
-	return q.relay(ctx, out, a, g)
+	return q.relay(caller, out, a, g)
 }
 
 // whole passes an answer on that is no stream of events.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -65,6 +65,8 @@
 	Place func(ctx context.Context, a place.Ask) (place.Answer, error)
 	// Ran reports to the home how a granted request goes on.
 	Ran func(id, server string, end place.RunEnd)
+	// Withdraw tells the home that a request needs no place any more.
+	Withdraw func(id string)
 	// First counts a request for a service, Repeat takes the right to send one to
 	// a second server.
 	First  func(service string)
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -34,6 +34,7 @@
 	events  int
 	first   time.Time
 	buffer  []byte
+	stall   *time.Timer // leaves a silent server; nil: it is waited for
 }
 
 // copy relays events until the answer is complete. Only whole events are passed on; an
@@ -50,6 +51,9 @@
 				started()
 			}
 			n++
+			if s.stall != nil {
+				s.stall.Reset(max(leastPatience, gapPatience*s.request.route.EventGap))
+			}
 			if e := s.write(r, s.buffer[:end]); e != nil {
 				return e
 			}
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -426,7 +426,7 @@
 
 // Asks the home of a region to place a model request.
 type PlaceAsk struct {
-	// Its pieces were made before.
+	// The request was placed before and not run.
 	Again bool `msgpack:"again"`
 
 	// Servers that do not take it.
@@ -435,6 +435,9 @@
 	// Time to the first event that earns full credit, in microseconds.
 	Goal int `msgpack:"goal"`
 
+	// An input did not exist any more.
+	Gone bool `msgpack:"gone"`
+
 	// Id corresponds to the JSON schema field "id".
 	Id string `msgpack:"id"`
 
