--- a/core/place/home.go
+++ b/core/place/home.go
@@ -34,7 +34,9 @@
 	Now    func() time.Time
 	View   func() *relay.View
 	Region string
-	// Repeat takes the right to make one more piece again at a service; nil: always.
+	// First counts a piece that is made for the first time at a service, Repeat takes
+	// the right to make one again; nil: always.
+	First  func(service string)
 	Repeat func(service string) bool
 
 	jobs    map[string]*job
@@ -242,6 +244,9 @@
 	for n := range s.ask.Pieces {
 		p := &piece{job: j, stage: s, segment: n, queued: h.Now()}
 		s.pieces = append(s.pieces, p)
+		if h.First != nil && j.remakes == 0 {
+			h.First(s.ask.Service)
+		}
 		q.waiting = append(q.waiting, p)
 	}
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -405,6 +405,24 @@
 	}
 }
 
+// Pieces that are made again are paid for; without a budget the request is refused.
+func TestRepeatsArePaid(t *testing.T) {
+	for _, paid := range []bool{true, false} {
+		b := newBench(t)
+		b.only("encode-a", "model-a")
+		first, repeats := 0, 0
+		b.home.First = func(string) { first++ }
+		b.home.Repeat = func(string) bool { repeats++; return paid }
+		b.ask("1", 3, 1000, nil)
+		l := []PieceResult{{Handle: "x/1"}, {End: PieceError}, {Handle: "x/2"}}
+		b.end(CallDone, l)
+		b.want("first pieces", first, 3)
+		b.want("repeats", repeats, 1)
+		b.want("calls for the piece that failed", len(b.calls) == 1, paid)
+		b.want("refusals", len(b.answers) == 1, !paid)
+	}
+}
+
 func ExampleHome() {
 	server := &relay.Server{ID: "model-1", Service: "model", Address: "10.0.0.1:80", Region: "north"}
 	view := relay.NewView(&relay.Configuration{Services: map[string]*relay.Service{"model": {Name: "model"}}}, []*relay.Server{server}, nil)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -14,7 +14,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -22,7 +21,6 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
-	"bergamotspring/core/budget"
 	"bergamotspring/core/lease"
 	"bergamotspring/core/place"
 	corerelay "bergamotspring/core/relay"
@@ -68,9 +66,8 @@
 	mesh     atomic.Pointer[peer.Mesh]
 	self     roster.Node
 	stopping atomic.Bool
-
-	mu      sync.Mutex
-	repeats map[string]*budget.Repeats // of each service
+	requests repeats // of requests that this node sends to servers
+	pieces   repeats // of pieces that this node has made as a home
 }
 
 // Run reads the settings file at a path, empty: where the platform places it, and runs a node until the context ends; it
@@ -119,8 +116,10 @@
 	n.store.Address, n.store.Dial = s.Store, n.Dial
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.stock.Now, n.roster.Now = time.Now, time.Now
+	n.requests = repeats{settings: s, share: n.nodeShare}
+	n.pieces = repeats{settings: s, share: n.homeShare}
 	n.home.pool, n.home.log = &n.pool, n.Log
-	n.home.place = place.Home{Now: time.Now, View: n.stock.View, Region: s.Region, Repeat: n.repeat}
+	n.home.place = place.Home{Now: time.Now, View: n.stock.View, Region: s.Region, First: n.pieces.first, Repeat: n.pieces.repeat}
 	n.beliefs = beliefs{settings: s, store: &n.store, stock: &n.stock, roster: &n.roster, log: n.Log, peers: n.mesh.Load}
 	n.beliefs.init()
 	n.placing = placing{self: s.Peer, region: s.Region, roster: &n.roster, mesh: n.mesh.Load, home: &n.home, log: n.Log}
@@ -171,7 +170,7 @@
 	s := &relay.Server{
 		Protocol: platform.Protocol(), View: n.stock.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
 		Pool: &n.pool, Place: n.placing.place, Ran: n.placing.note,
-		Withdraw: func(id string) { n.placing.note(id, "", place.RunLeft) }, First: n.first, Repeat: n.repeat,
+		Withdraw: func(id string) { n.placing.note(id, "", place.RunLeft) }, First: n.requests.first, Repeat: n.requests.repeat,
 		Stopping: n.stopping.Load, Log: n.Log,
 	}
 	return &http.Server{
--- a/io/edge/repeats.go
+++ b/io/edge/repeats.go
@@ -3,9 +3,11 @@
 // This file defines the node's share of the requests that may be sent a second time.
 
 import (
+	"sync"
 	"time"
 
 	"bergamotspring/core/budget"
+	"bergamotspring/platform"
 )
 
 const (
@@ -15,32 +17,48 @@
 	repeatShare = 0.7
 )
 
-// first counts a request for a service.
-func (n *Node) first(service string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.budget(service).First(time.Now())
+// repeats holds the budgets of what a node sends, by service. Its lock is a leaf.
+type repeats struct {
+	settings *platform.Settings
+	share    func() float64 // of the slack of all nodes
+
+	mu  sync.Mutex
+	all map[string]*budget.Repeats
+}
+
+// first counts what is sent to a service for the first time.
+func (r *repeats) first(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service).First(time.Now())
 }
 
-// repeat takes the right to send a request for a service to a second server.
-func (n *Node) repeat(service string) bool {
-	nodes := len(n.roster.All()) + spareNodes
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	b := n.budget(service)
-	b.Slack = repeatShare * n.Settings.RepeatSlack / float64(nodes)
+// repeat takes the right to send something to a service a second time.
+func (r *repeats) repeat(service string) bool {
+	share := r.share()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.budget(service)
+	b.Slack = repeatShare * r.settings.RepeatSlack * share
 	return b.Take(time.Now())
 }
 
 // budget returns the budget of a service. The lock is held.
-func (n *Node) budget(service string) *budget.Repeats {
-	if n.repeats == nil {
-		n.repeats = map[string]*budget.Repeats{}
+func (r *repeats) budget(service string) *budget.Repeats {
+	if r.all == nil {
+		r.all = map[string]*budget.Repeats{}
 	}
-	b := n.repeats[service]
+	b := r.all[service]
 	if b == nil {
-		b = &budget.Repeats{Ratio: repeatShare * n.Settings.RepeatRatio, Window: n.Settings.RepeatWindow}
-		n.repeats[service] = b
+		b = &budget.Repeats{Ratio: repeatShare * r.settings.RepeatRatio, Window: r.settings.RepeatWindow}
+		r.all[service] = b
 	}
 	return b
 }
+
+// nodeShare is the part of the slack that one node of the fleet may use for requests.
+func (n *Node) nodeShare() float64 { return 1 / float64(len(n.roster.All())+spareNodes) }
+
+// homeShare is the part that the home of one region may use for pieces. An old and a new
+// home of a region may both be at work for a while.
+func (n *Node) homeShare() float64 { return 1 / float64(2*max(1, len(n.roster.Regions()))) }
