--- a/cmd/bergamotspring/main.go
+++ b/cmd/bergamotspring/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -18,11 +19,15 @@
 func main() {
 	a := &command.App{
 		Out: os.Stdout, Err: os.Stderr, Version: version,
-		Node: node.Run, Edge: edge.Run, Demo: demo.Run, Standins: demo.Serve, Load: demo.SendLoad, Signals: signals, Exit: os.Exit,
+		Node: node.Run, Edge: runEdge, Demo: demo.Run, Standins: demo.Serve, Load: demo.SendLoad, Signals: signals, Exit: os.Exit,
 	}
 	os.Exit(a.Main(os.Args[1:]))
 }
 
+func runEdge(ctx context.Context, o command.EdgeOptions) error {
+	return edge.Run(ctx, edge.Options{Settings: o.Settings, Metrics: o.MetricsPort})
+}
+
 // signals is called only by commands that drain, so that the others end at once.
 func signals() <-chan os.Signal {
 	s := make(chan os.Signal, 2) // room for the second signal while the first is handled
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -191,7 +191,7 @@
 
 // refuse answers an ask that gets no place.
 func (h *Home) refuse(j *job, reason string, after time.Duration) {
-	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Reason: reason, RetryAfter: after})
+	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Reason: reason, RetryAfter: after, Waited: h.Now().Sub(j.arrived)})
 	h.forget(j.ask.ID)
 }
 
@@ -309,8 +309,10 @@
 		return
 	}
 	j.granted = e
+	h.work.Answers = append(h.work.Answers, Answer{
+		ID: j.ask.ID, Server: *e.server, Inputs: j.leaves(), Fetch: h.fetch(j, e), Waited: h.Now().Sub(j.arrived), Running: e.running,
+	})
 	e.take(h.Now(), j.ask.Tokens)
-	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Server: *e.server, Inputs: j.leaves(), Fetch: h.fetch(j, e)})
 }
 
 // Ran takes a node's report on a granted request.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -53,6 +53,9 @@
 	Inputs []string // handles for the model server
 	Fetch  string   // address of a model server that has more of the prompt, or empty
 	Reason string   // of a refusal
+	// Waited is the time from the ask, and Running the other requests at the server.
+	Waited  time.Duration
+	Running int
 	// RetryAfter is the time after which a refused request is worth sending again.
 	RetryAfter time.Duration
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -67,16 +68,20 @@
 	self     roster.Node
 	stopping atomic.Bool
 	requests repeats // of requests that this node sends to servers
+	sampler  sampler
+	meter    *meter
 	pieces   repeats // of pieces that this node has made as a home
 }
 
-// Run reads the settings file at a path, empty: where the platform places it, and runs a node until the context ends; it
-// then stops as planned.
-func Run(ctx context.Context, path string) error {
-	l, err := logger()
-	if err != nil {
-		return err
-	}
+// Options are what the command line says of a node.
+type Options struct {
+	Settings string // path of the settings file, empty: where the platform places it
+	Metrics  int    // port for scrapes, 0: none
+}
+
+// Run runs a node until the context ends; it then stops as planned.
+func Run(ctx context.Context, o Options) error {
+	path := o.Settings
 	if path == "" {
 		path = platform.SettingsPath()
 	}
@@ -85,10 +90,19 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
-	l = l.With(zap.String("node", s.Node))
+	w := newLineWriter(os.Stdout)
+	l := newLogger(w).With(zap.String("node", s.Node))
+	logging, end := context.WithCancel(context.Background())
+	defer end()
+	go w.run(logging)
+	go w.report(logging, l)
+	defer func() { _ = l.Sync() }() // bounded; what is not written then is lost
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
+	if o.Metrics > 0 {
+		s.Metrics = net.JoinHostPort(s.IP, strconv.Itoa(o.Metrics))
+	}
 	n := &Node{Settings: s, Log: l, Hangup: hup, Reload: func() { reload(l, path) }}
 	return n.Run(ctx)
 }
@@ -116,6 +130,9 @@
 	n.store.Address, n.store.Dial = s.Store, n.Dial
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.stock.Now, n.roster.Now = time.Now, time.Now
+	n.sampler.now = time.Now
+	n.meter = newMeter()
+	n.home.meter, n.home.keep = n.meter, n.sampler.keep
 	n.requests = repeats{settings: s, share: n.nodeShare}
 	n.pieces = repeats{settings: s, share: n.homeShare}
 	n.home.pool, n.home.log = &n.pool, n.Log
@@ -143,7 +160,14 @@
 	g.Add(func() error { return n.serve(work, callers) }, func(error) { _ = callers.Close() })
 	probe := &http.Server{Addr: n.Settings.Readiness, Handler: http.HandlerFunc(n.readiness), ReadHeaderTimeout: headerTimeout}
 	g.Add(func() error { return n.serve(work, probe) }, func(error) { _ = probe.Close() })
+	if n.Settings.Metrics != "" {
+		scrape := &http.Server{Addr: n.Settings.Metrics, Handler: n.meter.all.Handler(), ReadHeaderTimeout: headerTimeout}
+		g.Add(func() error { return n.serve(work, scrape) }, func(error) { _ = scrape.Close() })
+	}
 	err := g.Run()
+	if e := n.meter.all.Close(); e != nil {
+		n.Log.Warn("metrics_close_failed", zap.Error(e))
+	}
 	if m := n.mesh.Load(); m != nil {
 		m.Close()
 	}
@@ -171,7 +195,7 @@
 		Protocol: platform.Protocol(), View: n.stock.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
 		Pool: &n.pool, Place: n.placing.place, Ran: n.placing.note,
 		Withdraw: func(id string) { n.placing.note(id, "", place.RunLeft) }, First: n.requests.first, Repeat: n.requests.repeat,
-		Stopping: n.stopping.Load, Log: n.Log,
+		Done: n.meter.request, Keep: n.sampler.keep, Stopping: n.stopping.Load, Log: n.Log,
 	}
 	return &http.Server{
 		Addr: n.Settings.Callers, Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleCallers,
--- a/io/edge/home.go
+++ b/io/edge/home.go
@@ -32,9 +32,11 @@
 // home places requests for the nodes that take this one for the home of the region.
 // Its lock is a leaf; no lock is held during I/O or while an answer is delivered.
 type home struct {
-	pool *exchange.Pool
-	log  *zap.Logger
-	work sync.WaitGroup
+	pool  *exchange.Pool
+	log   *zap.Logger
+	keep  func(id string) bool // whether the ordinary lines of a request are logged
+	meter *meter
+	work  sync.WaitGroup
 
 	mu      sync.Mutex
 	place   place.Home
@@ -54,6 +56,9 @@
 		}
 	}
 	h.mu.Unlock()
+	for i := range w.Answers {
+		h.decided(&w.Answers[i])
+	}
 	for _, d := range deliver {
 		d()
 	}
@@ -68,6 +73,20 @@
 	}
 }
 
+// decided logs and counts an answer of the home.
+func (h *home) decided(a *place.Answer) {
+	h.meter.placed(a)
+	if !a.Granted() {
+		h.log.Info("place_refused", zap.String("request", a.ID), zap.String("reason", a.Reason),
+			zap.Duration("waited", a.Waited), zap.Duration("retry_after", a.RetryAfter))
+		return
+	}
+	if h.keep(a.ID) {
+		h.log.Info("placed", zap.String("request", a.ID), zap.String("server", a.Server.ID), zap.String("domain", a.Server.Domain),
+			zap.Duration("waited", a.Waited), zap.Int("inputs", len(a.Inputs)), zap.Int("running", a.Running), zap.String("fetch", a.Fetch))
+	}
+}
+
 // ask decides on an ask; answer is called once, from any goroutine, unless the ask is
 // withdrawn.
 func (h *home) ask(a place.Ask, answer func(place.Answer)) {
@@ -116,10 +135,12 @@
 	for _, r := range l {
 		ends[r.End]++
 	}
+	took := time.Since(start)
+	h.meter.call(c.Server.Service, end == place.CallDone, len(c.Pieces), took)
 	h.log.Info("stage_call", zap.String("server", c.Server.ID), zap.String("service", c.Server.Service),
 		zap.Int("pieces", len(c.Pieces)), zap.Int("made", ends[place.PieceMade]), zap.Int("gone", ends[place.PieceGone]),
 		zap.Int("no_room", ends[place.PieceRoom]), zap.Int("waiting", c.Waiting),
-		zap.Duration("took", time.Since(start)), zap.Uint8("end", uint8(end)), zap.Error(err))
+		zap.Duration("took", took), zap.Uint8("end", uint8(end)), zap.Error(err))
 	h.do(func(p *place.Home) { p.Called(c.Number, end, l) })
 }
 
--- /dev/null
+++ b/io/edge/logging_test.go
@@ -0,0 +1,171 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	outside "bergamotspring/platform/standin"
+)
+
+// blocked is a standard output that nobody reads.
+type blocked struct{ until chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.until
+	return len(p), nil
+}
+
+// A reader of the log that stands still holds nobody up; what is dropped is counted and told.
+func TestLogNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := blocked{make(chan struct{})}
+		w := newLineWriter(b)
+		l := newLogger(w)
+		ctx, end := context.WithCancel(context.Background())
+		go w.run(ctx)
+		start := time.Now()
+		for i := range logQueue + 100 {
+			l.Info("answered", zap.Int("n", i))
+		}
+		if d := time.Since(start); d != 0 {
+			t.Errorf("writing took %v", d)
+		}
+		synctest.Wait()
+		if n := w.dropped.Load(); n < 90 || n > 100 {
+			t.Errorf("got %d dropped lines, want about 100", n)
+		}
+		close(b.until)
+		synctest.Wait()
+		lines := &lines{}
+		go w.report(ctx, newLogger(zapSync{lines}))
+		time.Sleep(logDropEvery + time.Millisecond)
+		if len(lines.with("log_dropped", `"lines":`)) != 1 {
+			t.Errorf("got %v, want one line with the number of dropped lines", lines.l)
+		}
+		end()
+	})
+}
+
+type zapSync struct{ *lines }
+
+func (zapSync) Sync() error { return nil }
+
+// Under load all lines of a request are written, or none, and on all nodes the same ones.
+func TestSampler(t *testing.T) {
+	now := time.Unix(0, 0)
+	a, b := sampler{now: func() time.Time { return now }}, sampler{now: func() time.Time { return now }}
+	kept := 0
+	for i := range 10 * logFullRate {
+		if i%(5*logFullRate) == 0 {
+			now = now.Add(time.Second)
+		}
+		id := fmt.Sprint("request-", i)
+		ka, kb := a.keep(id), b.keep(id)
+		if ka != kb {
+			t.Fatalf("%s is kept by one node only", id)
+		}
+		if ka && i >= 5*logFullRate {
+			kept++
+		}
+	}
+	if kept < logFullRate/2 || kept > 2*logFullRate {
+		t.Errorf("kept %d requests of %d in a second, want about %d", kept, 5*logFullRate, logFullRate)
+	}
+}
+
+// For three kinds of failed requests the log leads from the id to the cause.
+func TestExplainFromLog(t *testing.T) {
+	type step struct{ event, field, want string }
+	for _, c := range []struct {
+		name  string
+		do    func(*world) reply
+		id    string
+		steps []step
+	}{
+		{"refused though servers were free", func(w *world) reply {
+			return w.draft("b1", "/draft/x", "q1", "X-Bergamotspring-Deadline-Ms", "300")
+		}, "q1", []step{{"place_refused", "reason", "time limit"}, {"refused", "reason", "time limit"}}},
+		{"stream that ended early", func(w *world) reply {
+			w.fault(outside.FaultBreak)
+			return w.draft("b1", "/once/x", "q2")
+		}, "q2", []step{{"placed", "server", "model-"}, {"stream_broken", "error", "EOF"}, {"broken_off", "reason", "model servers"}}},
+		{"unsafe request with unknown outcome", func(w *world) reply {
+			w.servers["plain-b"].Next(outside.FaultLose)
+			return w.ask("b1", http.MethodPost, "/file/x", "q3")
+		}, "q3", []step{{"send_failed", "server", "plain-b"}, {"unknown", "reason", "broken off"}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, func(w *world) {
+				if r := c.do(w); r.status == 200 && r.err == nil {
+					t.Fatalf("the request did not fail: %+v", r)
+				}
+				for _, s := range c.steps {
+					l := w.log.with(`"msg":"`+s.event+`"`, `"request":"`+c.id+`"`)
+					if len(l) == 0 {
+						t.Errorf("no line %s for %s", s.event, c.id)
+						continue
+					}
+					var f map[string]any
+					if err := json.Unmarshal([]byte(l[0]), &f); err != nil {
+						t.Fatal(err)
+					}
+					if got := fmt.Sprint(f[s.field]); !strings.Contains(got, s.want) {
+						t.Errorf("line %s: %s is %q, want %q in it", s.event, s.field, got, s.want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Counters and histograms are served on the metrics address.
+func TestMetricsPage(t *testing.T) {
+	play(t, func(w *world) {
+		w.ask("a1", http.MethodGet, "/read/x", "m1")
+		w.draft("a1", "/draft/x", "m2")
+		time.Sleep(2 * time.Second)
+		x := &http.Transport{DialContext: w.net.Dialer("10.8.0.1")}
+		defer x.CloseIdleConnections()
+		c := http.Client{Transport: x}
+		r, err := c.Get("http://" + w.nodes["a1"].node.Settings.Metrics + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var b strings.Builder
+		_ = r.Write(&b)
+		for _, want := range []string{
+			`bergamotspring_requests_total{organisation="org",outcome="answered",rank="1"} 1`,
+			`bergamotspring_requests_total{organisation="org",outcome="streamed",rank="1"} 1`,
+			`bergamotspring_places_total{answer="granted"} 1`, "bergamotspring_stage_call_pieces_bucket", "bergamotspring_first_event_seconds_bucket",
+		} {
+			if !strings.Contains(b.String(), want) {
+				t.Errorf("the page lacks %s", want)
+			}
+		}
+	})
+}
+
+// BenchmarkLine measures what one line of the log costs a request.
+func BenchmarkLine(b *testing.B) {
+	w := newLineWriter(discard{})
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go w.run(ctx)
+	l := newLogger(w).With(zap.String("node", "n"))
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Info("answered", zap.String("request", "0123456789abcdef"), zap.String("route", "route"), zap.Duration("after", time.Second), zap.Int("status", 200))
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/io/edge/world_test.go
+++ b/io/edge/world_test.go
@@ -182,10 +182,10 @@
 	at := func(port string) string { return net.JoinHostPort(ip, port) }
 	s := &platform.Settings{
 		Node: name, Domain: name[:1], Region: domains[name[:1]], Domains: domains, Store: storeAddress,
-		Callers: at("80"), Readiness: at("81"), Peer: at("90"), Metrics: at("91"), Memory: 1 << 28, Grace: 8 * time.Second,
+		Callers: at("80"), Readiness: at("81"), Peer: at("90"), Metrics: at("91"), IP: ip, Memory: 1 << 28, Grace: 8 * time.Second,
 		RepeatRatio: 0.2, RepeatSlack: 70, RepeatWindow: 10 * time.Second,
 	}
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(w.log), zap.InfoLevel))
+	log := newLogger(zapcore.AddSync(w.log))
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{stop: stop, done: make(chan error, 1), node: &Node{
 		Settings: s, Log: log.With(zap.String("node", name)), Dial: w.net.Dialer(ip), Listen: func(_, address string) (net.Listener, error) { return w.net.Listen(address) },
--- a/io/operator/command/app.go
+++ b/io/operator/command/app.go
@@ -51,8 +51,8 @@
 type App struct {
 	Out, Err io.Writer
 	Version  string
-	Node     func(context.Context, setting.Node) error        // runs until the context ends, then drains
-	Edge     func(ctx context.Context, settings string) error // runs a node on the users' platform, as Node
+	Node     func(context.Context, setting.Node) error // runs until the context ends, then drains
+	Edge     func(context.Context, EdgeOptions) error  // runs a node on the users' platform, as Node
 	Demo     func(context.Context, io.Writer) error
 	Standins func(context.Context, io.Writer, Standins) error // runs until the context ends
 	Load     func(context.Context, Load) (*Report, error)
--- a/io/operator/command/node.go
+++ b/io/operator/command/node.go
@@ -41,8 +41,15 @@
 	return a.serve(func(ctx context.Context) error { return a.Node(ctx, s) })
 }
 
+// EdgeOptions are the flags of a node on the users' platform.
+type EdgeOptions struct {
+	Settings    string
+	MetricsPort int
+}
+
 type edgeCmd struct {
-	Settings string `help:"Settings file, empty: where the platform places it."`
+	Settings    string `help:"Settings file, empty: where the platform places it."`
+	MetricsPort int    `help:"Port for scrapes of /metrics, 0: none."`
 }
 
 // Help is shown by --help.
@@ -57,7 +64,9 @@
 	if a.Edge == nil {
 		return errors.New("this build holds no node for the platform")
 	}
-	return a.serve(func(ctx context.Context) error { return a.Edge(ctx, c.Settings) })
+	return a.serve(func(ctx context.Context) error {
+		return a.Edge(ctx, EdgeOptions{Settings: c.Settings, MetricsPort: c.MetricsPort})
+	})
 }
 
 type demoCmd struct{}
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		q.fail(err.Error(), 0)
 	}
-	q.log("answered", zap.Int("status", a.response.Status))
+	q.end("answered", a.response.Status < http.StatusInternalServerError, 0, zap.Int("status", a.response.Status))
 }
 
 // ended ends a request whose time has passed, or whose caller has left.
@@ -192,6 +192,6 @@
 		q.fail("time limit", retryBusy)
 		return
 	}
-	q.log("caller_left")
+	q.end("caller_left", false, 0)
 	panic(http.ErrAbortHandler)
 }
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -190,14 +190,15 @@
 	err := out.copy(a.response, func() { s.Ran(q.meta.ID, g.Server.ID, place.RunStarted) })
 	if err == nil {
 		s.Ran(q.meta.ID, g.Server.ID, place.RunDone)
-		q.log("streamed", zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Duration("first_event", out.first.Sub(q.arrived)))
+		first := max(1, out.first.Sub(q.arrived))
+		q.end("streamed", true, first, zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Duration("first_event", first))
 		return runEnded
 	}
 	var w *callerError
 	if errors.As(err, &w) || ctx.Err() != nil {
 		s.Ran(q.meta.ID, g.Server.ID, place.RunLeft)
 		if ctx.Err() == nil {
-			q.log("caller_left")
+			q.end("caller_left", false, 0)
 			panic(http.ErrAbortHandler)
 		}
 		return runBroken
--- a/io/relay/read.go
+++ b/io/relay/read.go
@@ -76,7 +76,7 @@
 		http.Error(q.out, "no request id", http.StatusBadRequest)
 		return false
 	}
-	q.service = q.route.Pick(q.meta.ID)
+	q.service, q.version = q.route.Pick(q.meta.ID), v.Config.Version
 	d := q.route.Timeout
 	if q.meta.Bounded && (d <= 0 || q.meta.Left < d) {
 		d = q.meta.Left
@@ -98,11 +98,11 @@
 // and otherwise without a promise.
 func (q *request) fail(reason string, after time.Duration) {
 	if q.started {
-		q.log("broken_off", zap.String("reason", reason))
+		q.end("broken_off", false, 0, zap.String("reason", reason))
 		panic(http.ErrAbortHandler)
 	}
 	if !q.mayRun {
-		q.log("refused", zap.String("reason", reason), zap.Duration("retry_after", after))
+		q.end("refused", false, 0, zap.String("reason", reason), zap.Duration("retry_after", after))
 		refuse(q.out, after)
 		return
 	}
@@ -110,6 +110,6 @@
 	if q.left() <= 0 {
 		status = http.StatusGatewayTimeout
 	}
-	q.log("unknown", zap.String("reason", reason), zap.Int("status", status))
+	q.end("unknown", false, 0, zap.String("reason", reason), zap.Int("status", status))
 	http.Error(q.out, "outcome unknown", status)
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -71,6 +71,10 @@
 	// a second server.
 	First  func(service string)
 	Repeat func(service string) bool
+	// Done is told how each request ended that a route was found for.
+	Done func(Ended)
+	// Keep reports whether the ordinary lines of a request are logged.
+	Keep func(id string) bool
 	// Stopping reports whether connections should not be kept.
 	Stopping func() bool
 	Log      *zap.Logger
@@ -84,6 +88,7 @@
 	route   *relay.Route
 	org     *relay.Organisation
 	service string
+	version int64 // of the configuration that the request was matched by
 	method  string
 	target  string
 	host    string
@@ -127,10 +132,30 @@
 // left returns the time until the answer is due.
 func (q *request) left() time.Duration { return time.Until(q.limit) }
 
-// log writes the decision that ended a request.
+// Ended is how a request ended.
+type Ended struct {
+	Event        string // as in the log
+	Organisation string
+	Rank         int
+	Took         time.Duration
+	First        time.Duration // to the first event of a stream, 0: none
+}
+
+// log writes a line about the request.
 func (q *request) log(event string, fields ...zap.Field) {
 	q.server.Log.Info(event, append([]zap.Field{
 		zap.String("request", q.meta.ID), zap.String("route", q.route.Name), zap.String("service", q.service),
-		zap.Duration("after", time.Since(q.arrived)), zap.Int("sends", q.sends),
+		zap.Int64("version", q.version), zap.Duration("after", time.Since(q.arrived)), zap.Int("sends", q.sends),
 	}, fields...)...)
 }
+
+// end writes the line about the end of the request and counts it. Good ends may be left
+// out of the log under load.
+func (q *request) end(event string, good bool, first time.Duration, fields ...zap.Field) {
+	q.server.Done(Ended{
+		Event: event, Organisation: q.organisation(), Rank: relay.Rank(q.route, q.org), Took: time.Since(q.arrived), First: first,
+	})
+	if !good || q.server.Keep(q.meta.ID) {
+		q.log(event, fields...)
+	}
+}
