Refuse requests that crash the servers which run them

A request that was on three servers as they crashed, without ending well in between, is refused by every node as not run while it is resent. A node that a server broke off looks whether a process still listens there, and tells the others. Where a request can run alone, as in the product's own interface, core/suspect decides as before.

--- /dev/null
+++ b/io/edge/crashes.go
@@ -0,0 +1,60 @@
+package edge
+
+// This file defines how the nodes find requests that crash servers, and tell each other.
+
+import (
+	"context"
+	"errors"
+
+	"go.uber.org/zap"
+
+	corerelay "bergamotspring/core/relay"
+	"bergamotspring/io/exchange"
+)
+
+// broke finds out whether a server that broke a request off has crashed: then no process
+// listens there. It does not hold the request up.
+func (n *Node) broke(fingerprint uint64, t *corerelay.Server) {
+	n.home.work.Go(func() {
+		err := n.pool.Probe(context.Background(), t.Address)
+		u, ok := errors.AsType[*exchange.UnsentError](err)
+		if !ok || !u.Refused {
+			return
+		}
+		n.Log.Warn("server_crashed", zap.String("server", t.ID), zap.Uint64("fingerprint", fingerprint))
+		n.crashes.Crashed(fingerprint, t.ID)
+		n.tell(fingerprint, t.ID)
+	})
+}
+
+// ranWell clears a request of the crashes that it was on.
+func (n *Node) ranWell(fingerprint uint64) {
+	if n.crashes.Ran(fingerprint) {
+		n.tell(fingerprint, "")
+	}
+}
+
+// told takes what another node tells of a request.
+func (n *Node) told(fingerprint uint64, server string) {
+	if server == "" {
+		n.crashes.Ran(fingerprint)
+		return
+	}
+	n.crashes.Crashed(fingerprint, server)
+}
+
+// tell tells all nodes of a crash, or without a server that a request ended well.
+func (n *Node) tell(fingerprint uint64, server string) {
+	m := n.mesh.Load()
+	if m == nil {
+		return
+	}
+	for _, x := range n.roster.All() {
+		if x.Peer == n.self.Peer {
+			continue
+		}
+		if err := m.SendCrash(x.Peer, fingerprint, server); err != nil {
+			n.Log.Info("crash_not_told", zap.String("peer", x.Peer), zap.Error(err)) // it may count again there
+		}
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -26,6 +26,7 @@
 	"bergamotspring/core/place"
 	corerelay "bergamotspring/core/relay"
 	"bergamotspring/core/roster"
+	"bergamotspring/core/suspect"
 	"bergamotspring/io/exchange"
 	"bergamotspring/io/peer"
 	"bergamotspring/io/relay"
@@ -68,6 +69,7 @@
 	self     roster.Node
 	stopping atomic.Bool
 	requests repeats // of requests that this node sends to servers
+	crashes  suspect.Counter
 	sampler  sampler
 	meter    *meter
 	pieces   repeats // of pieces that this node has made as a home
@@ -130,7 +132,7 @@
 	n.store.Address, n.store.Dial = s.Store, n.Dial
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.stock.Now, n.roster.Now = time.Now, time.Now
-	n.sampler.now = time.Now
+	n.sampler.now, n.crashes.Now = time.Now, time.Now
 	n.meter = newMeter()
 	n.home.meter, n.home.keep = n.meter, n.sampler.keep
 	n.requests = repeats{settings: s, share: n.nodeShare}
@@ -195,7 +197,7 @@
 		Protocol: platform.Protocol(), View: n.stock.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
 		Pool: &n.pool, Place: n.placing.place, Ran: n.placing.note,
 		Withdraw: func(id string) { n.placing.note(id, "", place.RunLeft) }, First: n.requests.first, Repeat: n.requests.repeat,
-		Done: n.meter.request, Keep: n.sampler.keep, Stopping: n.stopping.Load, Log: n.Log,
+		Condemned: n.crashes.Condemned, Broke: n.broke, RanWell: n.ranWell, Done: n.meter.request, Keep: n.sampler.keep, Stopping: n.stopping.Load, Log: n.Log,
 	}
 	return &http.Server{
 		Addr: n.Settings.Callers, Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleCallers,
@@ -224,6 +226,7 @@
 	peer.PlaceHandlers{
 		Ask:    n.home.ask,
 		Note:   func(x peer.Note) { n.home.note(x.ID, x.Server, x.End) },
+		Crash:  n.told,
 		Mirror: n.beliefs.newer,
 	}.Register(m)
 	if _, _, err := m.Serve(n.Settings.Peer); err != nil {
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -470,3 +470,33 @@
 		}
 	})
 }
+
+// A request that crashes each server that runs it is refused, at every node, after three.
+func TestCrashingRequest(t *testing.T) {
+	play(t, func(w *world) {
+		crash := func(d, ip string) {
+			w.servers["plain-"+d].Next(outside.FaultLose)
+			w.servers["plain-"+d].Crash = func() { w.net.SetHost(ip, standin.HostRefuses) }
+		}
+		crash("a", "10.1.0.1")
+		crash("b", "10.1.0.5")
+		crash("c", "10.1.0.9")
+		bad := func(node, id string) reply {
+			return w.ask(node, http.MethodPost, "/file/bad", id, "X-Body", "bad")
+		}
+		for i, n := range []string{"a1", "b1", "c1"} {
+			bad(n, fmt.Sprint("bad", i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, ip := range []string{"10.1.0.1", "10.1.0.5", "10.1.0.9"} {
+			w.net.SetHost(ip, standin.HostUp)
+		}
+		time.Sleep(5 * time.Second)
+		if r := bad("a2", "bad9"); r.status != 503 || w.runs("bad9") != 0 {
+			t.Errorf("got %d after %d runs, want a refusal", r.status, w.runs("bad9"))
+		}
+		if r := w.ask("a2", http.MethodPost, "/file/good", "good"); r.status != 200 {
+			t.Errorf("another request: got %d, want 200", r.status)
+		}
+	})
+}
--- a/io/edge/world_test.go
+++ b/io/edge/world_test.go
@@ -234,6 +234,9 @@
 	if method == http.MethodPost {
 		body = strings.NewReader("body of " + id)
 	}
+	if len(more) > 1 && more[0] == "X-Body" {
+		body = strings.NewReader(more[1])
+	}
 	r, err := http.NewRequest(method, "http://"+s.Callers+path, body)
 	if err != nil {
 		w.t.Fatal(err)
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -110,6 +110,16 @@
 	return &conn{Conn: n, pool: p, address: address, in: bufio.NewReaderSize(n, readBuffer)}, nil
 }
 
+// Probe opens a connection and closes it. The error is an *UnsentError.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return &UnsentError{Refused: refused(err), Cause: err}
+	}
+	c.close()
+	return nil
+}
+
 func (p *Pool) opening(address string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -44,6 +44,7 @@
 	TypePlaceNote
 	TypeMirrorAsk
 	TypeMirror
+	TypeCrash
 
 	typeEnd // above all types
 )
--- a/io/peer/place.go
+++ b/io/peer/place.go
@@ -34,6 +34,9 @@
 	Ask func(a place.Ask, answer func(place.Answer))
 	// Note takes a report on a granted request, or the withdrawal of an ask.
 	Note func(Note)
+	// Crash takes that a request was on a server as it crashed, or, without a server,
+	// that it ended well.
+	Crash func(fingerprint uint64, server string)
 	// Mirror returns the tables of the store that are newer than those given.
 	Mirror func(have []MirrorTable) []MirrorTable
 }
@@ -46,6 +49,7 @@
 	handle(m, TypePlaceNote, true, func(_ *Request, b wire.PlaceNote) {
 		h.Note(Note{ID: b.Id, Server: b.Server, End: place.RunEnd(b.End)})
 	})
+	handle(m, TypeCrash, true, func(_ *Request, b wire.Crash) { h.Crash(uint64(b.Fingerprint), b.Server) })
 	handle(m, TypeMirrorAsk, true, func(r *Request, b wire.MirrorAsk) {
 		have := each(b.Tables, func(t wire.MirrorHave) MirrorTable {
 			return MirrorTable{Table: t.Table, Version: uint64(t.Version)}
@@ -71,6 +75,12 @@
 	return m.Send(to, TypePlaceNote, &wire.PlaceNote{Id: n.ID, Server: n.Server, End: int(n.End)})
 }
 
+// SendCrash tells the node at an address of a crash, or without a server that the request
+// ended well; it may be lost without an error.
+func (m *Mesh) SendCrash(to string, fingerprint uint64, server string) error {
+	return m.Send(to, TypeCrash, &wire.Crash{Fingerprint: int(fingerprint), Server: server})
+}
+
 // FetchMirror asks the node at an address for tables that are newer than those given.
 func (m *Mesh) FetchMirror(ctx context.Context, to string, have []MirrorTable) ([]MirrorTable, error) {
 	q := &wire.MirrorAsk{Tables: each(have, func(t MirrorTable) wire.MirrorHave {
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -107,6 +107,7 @@
 	done(time.Now(), failed, a.notRun || left)
 	if a.err != nil && !left {
 		s.Balance.Pause(t.ID, time.Now())
+		q.broke(a, t)
 	}
 	if a.err != nil || a.notRun {
 		q.log("send_failed", zap.String("server", t.ID), zap.Bool("not_run", a.notRun), zap.Error(a.err))
@@ -114,6 +115,13 @@
 	return a
 }
 
+// broke tells that a server may have crashed while it ran the request.
+func (q *request) broke(a *attempt, t *relay.Server) {
+	if !a.notRun {
+		q.server.Broke(q.fingerprint(), t)
+	}
+}
+
 // send sends a request to a server and reads the head of its answer.
 func (q *request) send(ctx context.Context, t *relay.Server, x Send) *attempt {
 	s := q.server
@@ -182,6 +190,7 @@
 	if err != nil {
 		q.fail(err.Error(), 0)
 	}
+	q.server.RanWell(q.fingerprint())
 	q.end("answered", a.response.Status < http.StatusInternalServerError, 0, zap.Int("status", a.response.Status))
 }
 
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -154,6 +154,7 @@
 			return runUnsent
 		}
 		s.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+		q.broke(a, &g.Server)
 		return runBroken
 	case a.notRun:
 		s.Ran(q.meta.ID, g.Server.ID, place.RunRejected)
@@ -190,6 +191,7 @@
 	err := out.copy(a.response, func() { s.Ran(q.meta.ID, g.Server.ID, place.RunStarted) })
 	if err == nil {
 		s.Ran(q.meta.ID, g.Server.ID, place.RunDone)
+		s.RanWell(q.fingerprint())
 		first := max(1, out.first.Sub(q.arrived))
 		q.end("streamed", true, first, zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Duration("first_event", first))
 		return runEnded
@@ -204,6 +206,7 @@
 		return runBroken
 	}
 	s.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+	q.broke(a, &g.Server)
 	q.log("stream_broken", zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Error(err))
 	return runBroken
 }
--- a/io/relay/read.go
+++ b/io/relay/read.go
@@ -23,6 +23,8 @@
 	defaultTimeout = 30 * time.Second
 	// defaultBody bounds bodies before a configuration says how large they may be.
 	defaultBody = 4 << 20
+	// retryCondemned is when a request that crashes servers may come back.
+	retryCondemned = 10 * time.Second
 	// retryStarting is when a request is worth sending again to a node that has not
 	// read its configuration yet.
 	retryStarting = 500 * time.Millisecond
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bergamotspring/core/place"
@@ -71,6 +72,11 @@
 	// a second server.
 	First  func(service string)
 	Repeat func(service string) bool
+	// Condemned reports whether a request must not run, since it crashes servers; Broke
+	// is told that a server broke it off, and RanWell that it ended well.
+	Condemned func(fingerprint uint64) bool
+	Broke     func(fingerprint uint64, t *relay.Server)
+	RanWell   func(fingerprint uint64)
 	// Done is told how each request ended that a route was found for.
 	Done func(Ended)
 	// Keep reports whether the ordinary lines of a request are logged.
@@ -114,6 +120,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.limit)
 	defer cancel()
+	if s.Condemned(q.fingerprint()) {
+		q.fail("crashes servers", retryCondemned)
+		return
+	}
 	s.First(q.service)
 	if v := s.View(); v.Config.Services[q.service] != nil && v.Config.Services[q.service].Engine != nil {
 		q.generate(ctx)
@@ -129,6 +139,16 @@
 	return q.org.Name
 }
 
+// fingerprint is the same for a request that is sent again.
+func (q *request) fingerprint() uint64 {
+	h := xxhash.New()
+	for _, s := range []string{q.organisation(), q.method, q.host, q.target} {
+		_, _ = h.WriteString(s + "\x00") // never fails
+	}
+	_, _ = h.Write(q.body)
+	return h.Sum64()
+}
+
 // left returns the time until the answer is due.
 func (q *request) left() time.Duration { return time.Until(q.limit) }
 
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -116,6 +116,16 @@
 	Version int `msgpack:"version"`
 }
 
+// Tells that a request was on a server as it crashed, or, without a server, that
+// it ended well.
+type Crash struct {
+	// Fingerprint corresponds to the JSON schema field "fingerprint".
+	Fingerprint int `msgpack:"fingerprint"`
+
+	// Server corresponds to the JSON schema field "server".
+	Server string `msgpack:"server"`
+}
+
 // What a node tells a few random peers each second.
 type Digest struct {
 	// Confirmed corresponds to the JSON schema field "confirmed".
