--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -198,6 +198,7 @@
 	b.home.Ran("1", "model-a", RunStarted)
 	b.take()
 	b.want("frees at the first event", len(b.frees), 1)
+	b.pass(25 * time.Millisecond)
 	b.want("calls before the free is confirmed", len(b.calls), 0)
 	b.home.Freed(b.frees[0].Number, MessageDone)
 	b.take()
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -336,7 +336,7 @@
 	play(t, func(w *world) {
 		var g sync.WaitGroup
 		var running, late reply
-		w.servers["model-a"].Gap, w.servers["model-b"].Gap = 500*time.Millisecond, 500*time.Millisecond
+		w.servers["model-a"].Gap, w.servers["model-b"].Gap = 600*time.Millisecond, 600*time.Millisecond
 		g.Go(func() { running = w.draft("a1", "/draft/x", "p1", "X-Bergamotspring-Deadline-Ms", "7000") })
 		time.Sleep(100 * time.Millisecond)
 		w.nodes["a1"].stop()
