--- a/core/place/home.go
+++ b/core/place/home.go
@@ -60,7 +60,6 @@
 	domain  string // of the model server it is meant for
 	remakes int
 	granted *engine // set once granted
-	inputs  bool    // its inputs still take room
 }
 
 // jobStage is the progress of one stage of a job.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -158,7 +158,8 @@
 	}
 	g.Add(func() error { n.home.run(work); return nil }, func(error) { end() })
 	g.Add(func() error { n.link(work); return nil }, func(error) { end() })
-	g.Add(func() error { n.tend(work); return nil }, func(error) { end() })
+	g.Add(func() error { every(work, sweepEvery, n.pool.Sweep); return nil }, func(error) { end() })
+	g.Add(func() error { n.hangups(work); return nil }, func(error) { end() })
 	g.Add(func() error { return n.serve(work, callers) }, func(error) { _ = callers.Close() })
 	probe := &http.Server{Addr: n.Settings.Readiness, Handler: http.HandlerFunc(n.readiness), ReadHeaderTimeout: headerTimeout}
 	g.Add(func() error { return n.serve(work, probe) }, func(error) { _ = probe.Close() })
@@ -250,18 +251,28 @@
 	return nil
 }
 
-// tend closes idle connections and notes changes of the settings file.
-func (n *Node) tend(ctx context.Context) {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
+// hangups calls Reload for each value from Hangup until the context ends.
+func (n *Node) hangups(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
-			n.pool.Sweep()
 		case <-n.Hangup:
 			n.Reload()
 		}
 	}
 }
+
+// every calls f at an interval until the context ends.
+func every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
--- a/io/edge/home.go
+++ b/io/edge/home.go
@@ -113,16 +113,7 @@
 
 // run ticks until the context ends.
 func (h *home) run(ctx context.Context) {
-	t := time.NewTicker(homeTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			h.do((*place.Home).Tick)
-		}
-	}
+	every(ctx, homeTick, func() { h.do((*place.Home).Tick) })
 }
 
 // call carries one call to a server of a stage.
--- a/io/edge/logging.go
+++ b/io/edge/logging.go
@@ -70,18 +70,11 @@
 
 // report tells how many lines were dropped, until the context ends.
 func (w *lineWriter) report(ctx context.Context, l *zap.Logger) {
-	t := time.NewTicker(logDropEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			if n := w.dropped.Swap(0); n > 0 {
-				l.Warn("log_dropped", zap.Int64("lines", n))
-			}
+	every(ctx, logDropEvery, func() {
+		if n := w.dropped.Swap(0); n > 0 {
+			l.Warn("log_dropped", zap.Int64("lines", n))
 		}
-	}
+	})
 }
 
 // newLogger returns a logger of JSON lines.
--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -25,10 +25,9 @@
 
 // members registers this node and looks after the others until the context ends.
 func (n *Node) members(ctx context.Context) {
-	t := time.NewTicker(probeEvery)
-	defer t.Stop()
-	for {
-		if !n.registered() && !n.stopping.Load() {
+	n.register(ctx)
+	every(ctx, probeEvery, func() {
+		if !n.registered() {
 			n.register(ctx)
 		}
 		silent, lost := n.roster.Suspects()
@@ -36,12 +35,7 @@
 			n.probe(ctx, x)
 		}
 		n.bury(ctx, lost)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	})
 }
 
 // registered reports whether the row of this incarnation is known.
@@ -59,7 +53,11 @@
 	return roster.Node{}, false
 }
 
+// register writes the row of this node, unless it is stopping.
 func (n *Node) register(ctx context.Context) {
+	if n.stopping.Load() {
+		return
+	}
 	if err := platform.Register(ctx, &n.store, n.self); err != nil {
 		n.Log.Warn("register_failed", zap.Error(err))
 		return
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -88,7 +88,7 @@
 		}
 		return nil, &BrokenError{Cause: err}
 	}
-	a, err := c.answer(r)
+	a, err := c.answer(r) //nolint:bodyclose // the body that is returned closes it
 	if err != nil {
 		stop()
 		c.close()
@@ -206,9 +206,9 @@
 }
 
 // abort closes the connection so that a read or write on it fails.
-func (c *conn) abort() { _ = c.Conn.Close() } // whoever uses it sees the failure
+func (c *conn) abort() { _ = c.Close() } // whoever uses it sees the failure
 
 func (c *conn) close() {
-	_ = c.Conn.Close() // nothing more is expected of it
+	_ = c.Close() // nothing more is expected of it
 	c.pool.closed(c.address)
 }
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -56,7 +56,7 @@
 			runs++
 			q.mayRun = true
 		}
-		if e == runBroken && !(q.route.Resumable && runs < q.route.Attempts && q.left() > resumeReserve) {
+		if e == runBroken && (!q.route.Resumable || runs >= q.route.Attempts || q.left() <= resumeReserve) {
 			break
 		}
 		if e != runUnsent && !q.server.Repeat(q.service) {
