--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -114,6 +114,17 @@
 	}
 }
 
+func TestConnections(t *testing.T) {
+	c := config(1)
+	c.Services["s"] = &Service{Name: "s", MaxConnections: 7}
+	v := NewView(c, []*Server{{ID: "1", Service: "s", Address: "a:1", Leaving: true}, {ID: "2", Service: "x", Address: "b:1"}}, nil)
+	for a, want := range map[string]int{"a:1": 7, "b:1": 0, "c:1": 0} {
+		if got := v.Connections(a); got != want {
+			t.Errorf("%s: got %d, want %d", a, got, want)
+		}
+	}
+}
+
 func TestAllows(t *testing.T) {
 	for _, c := range []struct {
 		route, org []string
--- a/core/relay/view.go
+++ b/core/relay/view.go
@@ -18,13 +18,15 @@
 	// those that are leaving or in a failure domain that is taken out.
 	Servers map[string][]*Server
 
-	hosts map[string][]*Route // longest prefix first
+	hosts    map[string][]*Route // longest prefix first
+	services map[string]string   // of each address
 }
 
 // NewView returns a view. Out names the failure domains that are taken out.
 func NewView(c *Configuration, servers []*Server, out map[string]bool) *View {
-	v := &View{Config: c, Servers: map[string][]*Server{}, hosts: map[string][]*Route{}}
+	v := &View{Config: c, Servers: map[string][]*Server{}, hosts: map[string][]*Route{}, services: map[string]string{}}
 	for _, s := range servers {
+		v.services[s.Address] = s.Service
 		if !s.Leaving && !out[s.Domain] {
 			v.Servers[s.Service] = append(v.Servers[s.Service], s)
 		}
@@ -45,6 +47,18 @@
 	return v
 }
 
+// Connections returns the most connections to an address from all nodes together, 0 if
+// there is no bound.
+func (v *View) Connections(address string) int {
+	if v.Config == nil {
+		return 0
+	}
+	if s := v.Config.Services[v.services[address]]; s != nil {
+		return s.MaxConnections
+	}
+	return 0
+}
+
 // Match returns the route with the longest prefix of the path among those of the
 // host, or nil.
 func (v *View) Match(host, path string) *Route {
--- a/io/edge/repeats.go
+++ b/io/edge/shares.go
@@ -1,6 +1,7 @@
 package edge
 
-// This file defines the node's share of the requests that may be sent a second time.
+// This file defines the node's share of what the platform bounds for all nodes together:
+// requests that are sent a second time, and connections to a server.
 
 import (
 	"sync"
@@ -13,6 +14,8 @@
 const (
 	// spareNodes are counted beside the registered ones, for nodes that join meanwhile.
 	spareNodes = 3
+	// leastConnections is what a node may open to a server at any rate.
+	leastConnections = 2
 	// repeatShare of what all nodes may send together is used.
 	repeatShare = 0.7
 )
@@ -59,6 +62,15 @@
 // nodeShare is the part of the slack that one node of the fleet may use for requests.
 func (n *Node) nodeShare() float64 { return 1 / float64(len(n.roster.All())+spareNodes) }
 
+// connections is the part of the connections to a server that this node may open.
+func (n *Node) connections(address string) int {
+	most := n.stock.View().Connections(address)
+	if most == 0 {
+		return 0
+	}
+	return max(leastConnections, int(float64(most)*n.nodeShare()))
+}
+
 // homeShare is the part that the home of one region may use for pieces. An old and a new
 // home of a region may both be at work for a while.
 func (n *Node) homeShare() float64 { return 1 / float64(2*max(1, len(n.roster.Regions()))) }
