Tell reports on earlier tries from those on the present one

Asks, answers and reports now carry the number of the try. Seen to fail first: TestLateReport got one answer of two.

--- a/core/place/home.go
+++ b/core/place/home.go
@@ -143,7 +143,7 @@
 			return false
 		}
 	}
-	j.ask.Avoid = a.Avoid
+	j.ask.Avoid, j.ask.Try = a.Avoid, a.Try
 	j.granted.running--
 	j.granted.tokens -= j.ask.Tokens
 	j.granted = nil
@@ -151,10 +151,12 @@
 	return true
 }
 
-// Withdraw forgets a request that nobody waits for.
-func (h *Home) Withdraw(id string) {
+// Withdraw forgets a request that nobody waits for, unless it was asked for again.
+func (h *Home) Withdraw(id string, try int) {
 	h.init()
-	h.forget(id)
+	if j := h.jobs[id]; j != nil && j.ask.Try <= try {
+		h.forget(id)
+	}
 	h.dispatch()
 }
 
@@ -190,7 +192,7 @@
 
 // refuse answers an ask that gets no place.
 func (h *Home) refuse(j *job, reason string, after time.Duration) {
-	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Reason: reason, RetryAfter: after, Waited: h.Now().Sub(j.arrived)})
+	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Try: j.ask.Try, Reason: reason, RetryAfter: after, Waited: h.Now().Sub(j.arrived)})
 	h.forget(j.ask.ID)
 }
 
@@ -309,31 +311,31 @@
 	}
 	j.granted = e
 	h.work.Answers = append(h.work.Answers, Answer{
-		ID: j.ask.ID, Server: *e.server, Inputs: j.leaves(), Fetch: h.fetch(j, e), Waited: h.Now().Sub(j.arrived), Running: e.running,
+		ID: j.ask.ID, Try: j.ask.Try, Server: *e.server, Inputs: j.leaves(), Fetch: h.fetch(j, e), Waited: h.Now().Sub(j.arrived), Running: e.running,
 	})
 	e.take(h.Now(), j.ask.Tokens)
 }
 
 // Ran takes a node's report on a granted request.
-func (h *Home) Ran(id, server string, r RunEnd) {
+func (h *Home) Ran(r Report) {
 	h.init()
-	if e := h.engines[server]; e != nil {
-		e.saw(h.Now(), r)
+	if e := h.engines[r.Server]; e != nil {
+		e.saw(h.Now(), r.End)
 	}
-	j := h.jobs[id]
-	if j == nil {
+	j := h.jobs[r.ID]
+	if j == nil || j.ask.Try != r.Try {
 		return
 	}
-	switch r {
+	switch r.End {
 	case RunStarted:
-		h.prompts.read(j.ask.Parts, server, h.Now())
+		h.prompts.read(j.ask.Parts, r.Server, h.Now())
 		for _, s := range j.stages {
 			h.release(s)
 		}
 	case RunRejected, RunUnsent:
 		// The node asks again, or withdraws.
 	default:
-		h.forget(id)
+		h.forget(r.ID)
 	}
 	h.dispatch()
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -16,6 +16,7 @@
 // Ask is a model request that wants a place. Durations count from when the home got it.
 type Ask struct {
 	ID      string // request id; unique among the requests in progress
+	Try     int    // how often the node has asked for it before
 	Service string // of model servers
 	Stages  []StageAsk
 	Key     string // that pieces without inputs are made from
@@ -49,6 +50,7 @@
 // Answer ends an Ask: with a grant, or with a refusal if Server is empty.
 type Answer struct {
 	ID     string
+	Try    int // of the ask
 	Server relay.Server
 	Inputs []string // handles for the model server
 	Fetch  string   // address of a model server that has more of the prompt, or empty
@@ -146,6 +148,14 @@
 	PieceError          // the server failed on it
 )
 
+// Report tells the home how a request that it placed goes on.
+type Report struct {
+	ID     string
+	Try    int // of the ask that it was placed by; messages may overtake each other
+	Server string
+	End    RunEnd
+}
+
 // PieceResult is the answer to one piece.
 type PieceResult struct {
 	End    PieceEnd
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -194,7 +194,7 @@
 	b.want("granted", b.answers[0].Granted(), true)
 	b.ask("2", 8, mega, nil)
 	b.want("calls without room for all pieces", len(b.calls), 0)
-	b.home.Ran("1", "model-a", RunStarted)
+	b.home.Ran(Report{ID: "1", Server: "model-a", End: RunStarted})
 	b.take()
 	b.want("frees at the first event", len(b.frees), 1)
 	b.pass(25 * time.Millisecond)
@@ -223,7 +223,7 @@
 	b.only("encode-a", "model-a")
 	b.ask("1", 8, mega, nil)
 	b.done()
-	b.home.Ran("1", "model-a", RunDone)
+	b.home.Ran(Report{ID: "1", Server: "model-a", End: RunDone})
 	b.take()
 	b.home.Freed(b.frees[0].Number, MessageFailed)
 	b.take()
@@ -243,7 +243,7 @@
 	b.only("encode-a", "model-a")
 	b.ask("1", 8, mega, nil)
 	b.done()
-	b.home.Ran("1", "model-a", RunDone)
+	b.home.Ran(Report{ID: "1", Server: "model-a", End: RunDone})
 	b.take()
 	b.home.Freed(b.frees[0].Number, MessageRefused)
 	b.take()
@@ -329,7 +329,7 @@
 	b := newBench(t)
 	b.only("encode-a", "model-a")
 	b.ask("1", 2, mega, nil)
-	b.home.Withdraw("1")
+	b.home.Withdraw("1", 0)
 	b.take()
 	b.done()
 	b.want("frees of what was made for nobody", len(b.frees), 1)
@@ -361,8 +361,8 @@
 	shared := func(a *Ask) { a.Parts = []Part{{Hash: 7, Tokens: 500}, {Hash: 9, Tokens: 900}} }
 	b.ask("1", 0, 0, shared)
 	home := b.answers[0].Server.ID
-	b.home.Ran("1", home, RunStarted)
-	b.home.Ran("1", home, RunDone)
+	b.home.Ran(Report{ID: "1", Server: home, End: RunStarted})
+	b.home.Ran(Report{ID: "1", Server: home, End: RunDone})
 	b.ask("2", 0, 0, shared)
 	b.want("second request's server", b.answers[1].Server.ID, home)
 	b.want("second request's fetch", b.answers[1].Fetch, "")
@@ -378,7 +378,7 @@
 	b.only("model-a", "model-b")
 	b.ask("1", 0, 0, nil)
 	bad := b.answers[0].Server.ID
-	b.home.Ran("1", bad, RunBroken)
+	b.home.Ran(Report{ID: "1", Server: bad, End: RunBroken})
 	b.ask("2", 0, 0, nil)
 	if b.answers[1].Server.ID == bad {
 		t.Errorf("%s got the next request", bad)
@@ -423,6 +423,23 @@
 	}
 }
 
+// A report on an earlier try that arrives after the next ask does not end that one.
+func TestLateReport(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a", "model-b")
+	b.ask("1", 1, 1000, nil)
+	b.done()
+	server := b.answers[0].Server.ID
+	b.ask("1", 1, 1000, func(a *Ask) { a.Try, a.Avoid = 1, []string{server} })
+	b.home.Ran(Report{ID: "1", Server: server, End: RunBroken})
+	b.home.Withdraw("1", 0)
+	b.take()
+	b.done()
+	if len(b.answers) != 2 || !b.answers[1].Granted() {
+		t.Errorf("got answers %+v, want a second grant", b.answers)
+	}
+}
+
 // BenchmarkRequest measures what the home spends on one request with a stage of four
 // pieces, while forty others wait.
 func BenchmarkRequest(b *testing.B) {
@@ -435,8 +452,8 @@
 		x.ask(fmt.Sprint(i), 4, 1000, func(a *Ask) { a.Left, a.Goal = time.Hour, time.Hour })
 		x.done()
 		for _, a := range x.answers {
-			x.home.Ran(a.ID, a.Server.ID, RunStarted)
-			x.home.Ran(a.ID, a.Server.ID, RunDone)
+			x.home.Ran(Report{ID: a.ID, Server: a.Server.ID, End: RunStarted})
+			x.home.Ran(Report{ID: a.ID, Server: a.Server.ID, End: RunDone})
 		}
 		x.answers = x.answers[:0]
 		x.take()
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -198,7 +198,7 @@
 	s := &relay.Server{
 		Protocol: platform.Protocol(), View: n.stock.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
 		Pool: &n.pool, Place: n.placing.place, Ran: n.placing.note,
-		Withdraw: func(id string) { n.placing.note(id, "", place.RunLeft) }, First: n.requests.first, Repeat: n.requests.repeat,
+		First: n.requests.first, Repeat: n.requests.repeat,
 		Condemned: n.crashes.Condemned, Broke: n.broke, RanWell: n.ranWell, Done: n.meter.request, Keep: n.sampler.keep, Stopping: n.stopping.Load, Log: n.Log,
 	}
 	return &http.Server{
@@ -227,7 +227,7 @@
 	}
 	peer.PlaceHandlers{
 		Ask:    n.home.ask,
-		Note:   func(x peer.Note) { n.home.note(x.ID, x.Server, x.End) },
+		Note:   n.home.note,
 		Crash:  n.told,
 		Mirror: n.beliefs.newer,
 	}.Register(m)
--- a/io/edge/home.go
+++ b/io/edge/home.go
@@ -40,7 +40,13 @@
 
 	mu      sync.Mutex
 	place   place.Home
-	waiting map[string]func(place.Answer)
+	waiting map[asked]func(place.Answer)
+}
+
+// asked is one ask for a request.
+type asked struct {
+	id  string
+	try int
 }
 
 // do runs f under the lock and then does what the home wants done.
@@ -50,8 +56,9 @@
 	w := h.place.Take()
 	var deliver []func()
 	for _, a := range w.Answers {
-		if d := h.waiting[a.ID]; d != nil {
-			delete(h.waiting, a.ID)
+		k := asked{a.ID, a.Try}
+		if d := h.waiting[k]; d != nil {
+			delete(h.waiting, k)
 			deliver = append(deliver, func() { d(a) })
 		}
 	}
@@ -92,22 +99,22 @@
 func (h *home) ask(a place.Ask, answer func(place.Answer)) {
 	h.do(func(p *place.Home) {
 		if h.waiting == nil {
-			h.waiting = map[string]func(place.Answer){}
+			h.waiting = map[asked]func(place.Answer){}
 		}
-		h.waiting[a.ID] = answer
+		h.waiting[asked{a.ID, a.Try}] = answer
 		p.Ask(a)
 	})
 }
 
 // note takes a report on a granted request, or a withdrawal if the server is empty.
-func (h *home) note(id, server string, e place.RunEnd) {
+func (h *home) note(r place.Report) {
 	h.do(func(p *place.Home) {
-		if server == "" {
-			delete(h.waiting, id)
-			p.Withdraw(id)
+		if r.Server == "" {
+			delete(h.waiting, asked{r.ID, r.Try})
+			p.Withdraw(r.ID, r.Try)
 			return
 		}
-		p.Ran(id, server, e)
+		p.Ran(r)
 	})
 }
 
--- a/io/edge/placing.go
+++ b/io/edge/placing.go
@@ -102,29 +102,30 @@
 		}
 		return r.answer, r.err
 	case <-ctx.Done():
-		p.note(a.ID, "", place.RunLeft)
+		p.note(place.Report{ID: a.ID, Try: a.Try, End: place.RunLeft})
 		return place.Answer{}, context.Cause(ctx)
 	}
 }
 
-// note tells the home of a request how it goes on.
-func (p *placing) note(id, server string, e place.RunEnd) {
+// note tells the home of a request how it goes on, or without a server that it needs no
+// place any more.
+func (p *placing) note(r place.Report) {
 	p.mu.Lock()
-	home := p.placed[id]
+	home := p.placed[r.ID]
 	p.mu.Unlock()
-	switch e {
+	switch r.End {
 	case place.RunStarted, place.RunRejected, place.RunUnsent:
 	default:
-		p.forget(id)
+		p.forget(r.ID)
 	}
 	switch home {
 	case "":
 	case p.self:
-		p.home.note(id, server, e)
+		p.home.note(r)
 	default:
-		if err := p.mesh().SendNote(home, peer.Note{ID: id, Server: server, End: e}); err != nil {
+		if err := p.mesh().SendNote(home, r); err != nil {
 			// The home forgets the request some time after its time limit.
-			p.log.Warn("note_lost", zap.String("request", id), zap.String("home", home), zap.Error(err))
+			p.log.Warn("note_lost", zap.String("request", r.ID), zap.String("home", home), zap.Error(err))
 		}
 	}
 }
--- a/io/peer/place.go
+++ b/io/peer/place.go
@@ -13,13 +13,6 @@
 	"bergamotspring/schema/wire"
 )
 
-// Note tells a home about a request that it placed. An empty Server withdraws an ask.
-type Note struct {
-	ID     string
-	Server string
-	End    place.RunEnd
-}
-
 // MirrorTable holds all rows of a table of the store, as a node last read it. Rows may
 // be missing in an ask.
 type MirrorTable struct {
@@ -32,8 +25,9 @@
 type PlaceHandlers struct {
 	// Ask decides on an ask. The answer may come later, from any goroutine.
 	Ask func(a place.Ask, answer func(place.Answer))
-	// Note takes a report on a granted request, or the withdrawal of an ask.
-	Note func(Note)
+	// Note takes a report on a granted request, or, without a server, the withdrawal of
+	// an ask.
+	Note func(place.Report)
 	// Crash takes that a request was on a server as it crashed, or, without a server,
 	// that it ended well.
 	Crash func(fingerprint uint64, server string)
@@ -47,7 +41,7 @@
 		h.Ask(placeAskOf(b), func(a place.Answer) { reply(r, TypePlaceAnswer, wirePlaceAnswer(a)) })
 	})
 	handle(m, TypePlaceNote, true, func(_ *Request, b wire.PlaceNote) {
-		h.Note(Note{ID: b.Id, Server: b.Server, End: place.RunEnd(b.End)})
+		h.Note(place.Report{ID: b.Id, Try: b.Try, Server: b.Server, End: place.RunEnd(b.End)})
 	})
 	handle(m, TypeCrash, true, func(_ *Request, b wire.Crash) { h.Crash(uint64(b.Fingerprint), b.Server) })
 	handle(m, TypeMirrorAsk, true, func(r *Request, b wire.MirrorAsk) {
@@ -70,9 +64,10 @@
 	})
 }
 
-// SendNote sends a note to the home at an address; it may be lost without an error.
-func (m *Mesh) SendNote(to string, n Note) error {
-	return m.Send(to, TypePlaceNote, &wire.PlaceNote{Id: n.ID, Server: n.Server, End: int(n.End)})
+// SendNote sends a report, or without a server a withdrawal, to the home at an address; it
+// may be lost without an error.
+func (m *Mesh) SendNote(to string, n place.Report) error {
+	return m.Send(to, TypePlaceNote, &wire.PlaceNote{Id: n.ID, Try: n.Try, Server: n.Server, End: int(n.End)})
 }
 
 // SendCrash tells the node at an address of a crash, or without a server that the request
@@ -105,7 +100,7 @@
 
 func wirePlaceAsk(a place.Ask) *wire.PlaceAsk {
 	return &wire.PlaceAsk{
-		Id: a.ID, Service: a.Service, Key: a.Key, Tokens: a.Tokens, Rank: a.Rank,
+		Id: a.ID, Try: a.Try, Service: a.Service, Key: a.Key, Tokens: a.Tokens, Rank: a.Rank,
 		Goal: micros(a.Goal), Left: micros(a.Left), Regions: a.Regions, Avoid: a.Avoid, Again: a.Again, Gone: a.Gone,
 		Parts: each(a.Parts, func(p place.Part) wire.PlacePart {
 			return wire.PlacePart{Hash: int(p.Hash), Tokens: p.Tokens}
@@ -118,7 +113,7 @@
 
 func placeAskOf(w wire.PlaceAsk) place.Ask {
 	return place.Ask{
-		ID: w.Id, Service: w.Service, Key: w.Key, Tokens: w.Tokens, Rank: w.Rank,
+		ID: w.Id, Try: w.Try, Service: w.Service, Key: w.Key, Tokens: w.Tokens, Rank: w.Rank,
 		Goal: duration(w.Goal), Left: duration(w.Left), Regions: w.Regions, Avoid: w.Avoid, Again: w.Again, Gone: w.Gone,
 		Parts: each(w.Parts, func(p wire.PlacePart) place.Part {
 			return place.Part{Hash: uint64(p.Hash), Tokens: p.Tokens}
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -34,6 +34,7 @@
 	out := &stream{request: q, last: q.meta.LastEvent}
 	runs := 0
 	for n := 0; n < mostPlaces; n++ {
+		a.Try, q.asked = n, n
 		a.Left, a.Goal = q.left(), q.route.Goal-time.Since(q.arrived)
 		g, err := q.server.Place(ctx, a)
 		if ctx.Err() != nil {
@@ -67,10 +68,15 @@
 		}
 		a.Again, a.Gone = e != runBroken, e == runGone
 	}
-	q.server.Withdraw(q.meta.ID)
+	q.server.Ran(place.Report{ID: q.meta.ID, Try: q.asked, End: place.RunLeft})
 	q.fail("model servers failed", retryBusy)
 }
 
+// report tells the home how a granted request goes on.
+func (q *request) report(g *place.Answer, e place.RunEnd) {
+	q.server.Ran(place.Report{ID: q.meta.ID, Try: q.asked, Server: g.Server.ID, End: e})
+}
+
 func refusal(g place.Answer, err error) string {
 	if err != nil {
 		return err.Error()
@@ -127,7 +133,6 @@
 // run sends the request to a model server and relays its stream. If it may be resumed
 // elsewhere, a silent server is left.
 func (q *request) run(ctx context.Context, out *stream, g *place.Answer, resume bool) runEnd {
-	s := q.server
 	caller := ctx
 	out.stall = nil
 	if resume {
@@ -145,19 +150,19 @@
 	defer a.close()
 	switch {
 	case caller.Err() != nil:
-		s.Ran(q.meta.ID, g.Server.ID, place.RunLeft)
+		q.report(g, place.RunLeft)
 		return runBroken
 	case a.err != nil:
 		q.log("send_failed", zap.String("server", g.Server.ID), zap.Bool("not_run", a.notRun), zap.Error(a.err))
 		if a.notRun {
-			s.Ran(q.meta.ID, g.Server.ID, place.RunUnsent)
+			q.report(g, place.RunUnsent)
 			return runUnsent
 		}
-		s.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+		q.report(g, place.RunBroken)
 		q.broke(a, &g.Server)
 		return runBroken
 	case a.notRun:
-		s.Ran(q.meta.ID, g.Server.ID, place.RunRejected)
+		q.report(g, place.RunRejected)
 		q.log("not_run", zap.String("server", g.Server.ID), zap.Int("status", a.response.Status))
 		if a.response.Status == http.StatusConflict {
 			return runGone
@@ -172,40 +177,39 @@
 // whole passes an answer on that is no stream of events.
 func (q *request) whole(a *attempt, g *place.Answer) runEnd {
 	if q.started {
-		q.server.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+		q.report(g, place.RunBroken)
 		return runBroken
 	}
 	a.read()
 	if a.err != nil {
-		q.server.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+		q.report(g, place.RunBroken)
 		return runBroken
 	}
-	q.server.Ran(q.meta.ID, g.Server.ID, place.RunDone)
+	q.report(g, place.RunDone)
 	q.pass(a)
 	return runEnded
 }
 
 // relay relays a stream of events until it ends or breaks.
 func (q *request) relay(ctx context.Context, out *stream, a *attempt, g *place.Answer) runEnd {
-	s := q.server
-	err := out.copy(a.response, func() { s.Ran(q.meta.ID, g.Server.ID, place.RunStarted) })
+	err := out.copy(a.response, func() { q.report(g, place.RunStarted) })
 	if err == nil {
-		s.Ran(q.meta.ID, g.Server.ID, place.RunDone)
-		s.RanWell(q.fingerprint())
+		q.report(g, place.RunDone)
+		q.server.RanWell(q.fingerprint())
 		first := max(1, out.first.Sub(q.arrived))
 		q.end("streamed", true, first, zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Duration("first_event", first))
 		return runEnded
 	}
 	var w *callerError
 	if errors.As(err, &w) || ctx.Err() != nil {
-		s.Ran(q.meta.ID, g.Server.ID, place.RunLeft)
+		q.report(g, place.RunLeft)
 		if ctx.Err() == nil {
 			q.end("caller_left", false, 0)
 			panic(http.ErrAbortHandler)
 		}
 		return runBroken
 	}
-	s.Ran(q.meta.ID, g.Server.ID, place.RunBroken)
+	q.report(g, place.RunBroken)
 	q.broke(a, &g.Server)
 	q.log("stream_broken", zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Error(err))
 	return runBroken
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -64,10 +64,9 @@
 	Pool     *exchange.Pool
 	// Place asks the home for a place.
 	Place func(ctx context.Context, a place.Ask) (place.Answer, error)
-	// Ran reports to the home how a granted request goes on.
-	Ran func(id, server string, end place.RunEnd)
-	// Withdraw tells the home that a request needs no place any more.
-	Withdraw func(id string)
+	// Ran reports to the home how a granted request goes on, or, without a server, that
+	// it needs no place any more.
+	Ran func(place.Report)
 	// First counts a request for a service, Repeat takes the right to send one to
 	// a second server.
 	First  func(service string)
@@ -104,6 +103,7 @@
 	limit   time.Time // final answer due
 	out     http.ResponseWriter
 
+	asked   int  // asks for a place before the present one
 	sends   int  // that a server can have read
 	mayRun  bool // a server may have run it
 	started bool // the head of the answer was written
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -474,6 +474,9 @@
 
 	// Prompt and answer.
 	Tokens int `msgpack:"tokens"`
+
+	// How often the node has asked for the request before.
+	Try int `msgpack:"try"`
 }
 
 // Tells the home how a granted request goes on, or that nobody waits for an ask.
@@ -486,6 +489,9 @@
 
 	// Empty: the ask is withdrawn.
 	Server string `msgpack:"server"`
+
+	// How often the node has asked for the request before.
+	Try int `msgpack:"try"`
 }
 
 // A part of a prompt that other requests share.
