--- a/io/edge/logging_test.go
+++ b/io/edge/logging_test.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -169,3 +172,37 @@
 type discard struct{}
 
 func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// Every event that a node can log stands on the page for the person on call.
+func TestEventsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	event := regexp.MustCompile(`(?:\.(?:Info|Warn|Error)|\.log|\.end)\("([a-z_]+)"`)
+	n := 0
+	for _, dir := range []string{".", "../relay"} {
+		files, err := filepath.Glob(dir + "/*.go")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range files {
+			if strings.HasSuffix(f, "_test.go") {
+				continue
+			}
+			b, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range event.FindAllStringSubmatch(string(b), -1) {
+				n++
+				if !strings.Contains(string(page), "`"+m[1]+"`") {
+					t.Errorf("%s logs %s, which docs/OPERATIONS.md does not name", f, m[1])
+				}
+			}
+		}
+	}
+	if n < 30 {
+		t.Errorf("found %d events in the sources, want all of them", n)
+	}
+}
