Place requests in another region when their goal would be missed; refuse the hopeless early

A request that waits is refused when it is expected to miss its time limit with half of what waits going behind it (TestHopelessIsRefusedEarly). Pieces of a request that is bound to regions stay there as well: a home without servers of a stage in its region used those of others for any request (TestRegions). Each test was seen to fail without its mechanism; without the node's check of regions the home's own check still holds.

--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -98,7 +98,7 @@
 	now := h.Now()
 	var near, far []*engine
 	for _, s := range v.Servers[j.ask.Service] {
-		if len(j.ask.Regions) > 0 && !slices.Contains(j.ask.Regions, s.Region) {
+		if !j.allows(s.Region) {
 			continue
 		}
 		e := h.engine(s)
@@ -157,6 +157,11 @@
 	return h.engines[id].server.Address
 }
 
+// allows reports whether a job may be served in a region.
+func (j *job) allows(region string) bool {
+	return len(j.ask.Regions) == 0 || slices.Contains(j.ask.Regions, region)
+}
+
 // group returns the hash of all shared parts of a job's prompt, 0: none.
 func (j *job) group() uint64 {
 	if n := len(j.ask.Parts); n > 0 {
--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -121,17 +121,33 @@
 // admit reports whether a job can have its first event within its time limit, and
 // otherwise after which time it is worth coming back.
 func (h *Home) admit(j *job) (time.Duration, bool) {
+	if d := h.need(j); float64(d) <= admitShare*float64(j.ask.Left) {
+		return 0, true
+	}
+	return h.backlog(j), false
+}
+
+// hopeless reports whether a job that waits is expected to miss its time limit, even if
+// half of what waits for its services goes behind it.
+func (h *Home) hopeless(j *job, now time.Time) bool {
+	var d time.Duration
+	for i, s := range j.stages {
+		if s.left > 0 && j.ready(s) {
+			d = max(d, h.path(j, i)-h.wait(s.ask.Service, j.ask.Rank)/2)
+		}
+	}
+	return now.Add(d + firstEvent).After(j.limit)
+}
+
+// need returns the expected time until a new job's first event.
+func (h *Home) need(j *job) time.Duration {
 	var d time.Duration
 	for i, s := range j.stages {
 		if len(s.ask.After) == 0 && s.left > 0 {
 			d = max(d, h.path(j, i))
 		}
 	}
-	d += j.model()
-	if float64(d) <= admitShare*float64(j.ask.Left) {
-		return 0, true
-	}
-	return h.backlog(j), false
+	return d + j.model()
 }
 
 // path returns the expected time from now through a stage and the longest chain of
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -108,6 +108,10 @@
 	for i := range a.Stages {
 		j.stages = append(j.stages, &jobStage{index: i, ask: &j.ask.Stages[i], left: a.Stages[i].Pieces})
 	}
+	if a.Elsewhere && h.need(j) > a.Goal {
+		h.refuse(j, ReasonBusy, 0)
+		return
+	}
 	if w, ok := h.admit(j); !ok {
 		h.refuse(j, ReasonLate, w)
 		return
@@ -350,7 +354,7 @@
 		switch {
 		case j.granted != nil && now.After(j.limit.Add(keepGranted)):
 			h.forget(id)
-		case j.granted == nil && now.Add(h.least(j)).After(j.limit):
+		case j.granted == nil && (now.Add(h.least(j)).After(j.limit) || h.hopeless(j, now)):
 			h.refuse(j, ReasonLate, h.backlog(j))
 		case j.granted == nil:
 			h.advance(j)
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -27,6 +27,9 @@
 	Left    time.Duration
 	Regions []string // the only ones that may serve it; empty: all
 	Avoid   []string // ids of servers that do not take it
+	// Elsewhere says that another region can be asked, so that a request which is
+	// expected to miss its goal is refused.
+	Elsewhere bool
 	// Again says that the request was placed before and not run; what was made for it is
 	// used again, unless Gone says that an input did not exist any more.
 	Again bool
@@ -68,6 +71,7 @@
 // Reasons of refusals.
 const (
 	ReasonLate     = "the stages would end after the time limit"
+	ReasonBusy     = "the goal would be missed here"
 	ReasonNoServer = "no usable server"
 	ReasonWithdraw = "withdrawn"
 	ReasonFailed   = "a stage failed repeatedly"
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -307,6 +307,44 @@
 	b.want("answers to a request that goes before all", len(b.answers), 0)
 }
 
+// A request that waits behind others is refused when it is expected to miss its time limit,
+// not only when the limit is there.
+func TestHopelessIsRefusedEarly(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	b.ask("1", 8, 1000, nil)
+	b.ask("2", 8, 1000, func(a *Ask) { a.Rank = 1 })
+	b.want("answers while there is time", len(b.answers), 0)
+	for i := range 12 {
+		b.ask(fmt.Sprint("x", i), 8, 1000, func(a *Ask) { a.Left, a.Goal = 60*time.Second, 50*time.Second })
+	}
+	b.pass(1500 * time.Millisecond)
+	got := 0
+	for _, a := range b.answers {
+		if a.ID == "2" && !a.Granted() {
+			got++
+		}
+	}
+	b.want("refusals of the one behind, 2.5 s before its limit", got, 1)
+}
+
+// Where another region can be asked, a request that would miss its goal is refused at once.
+func TestElsewhere(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a")
+	for i := range 6 {
+		b.ask(fmt.Sprint("x", i), 8, 1000, nil)
+	}
+	b.answers = nil
+	b.ask("y", 1, 1000, func(a *Ask) { a.Elsewhere, a.Left = true, 20*time.Second })
+	if len(b.answers) != 1 || b.answers[0].Reason != ReasonBusy {
+		t.Errorf("got %+v, want a refusal for another region", b.answers)
+	}
+	b.answers = nil
+	b.ask("y", 1, 1000, func(a *Ask) { a.Left = 20 * time.Second })
+	b.want("answers without another region", len(b.answers), 0)
+}
+
 // A request that waits is refused as soon as it cannot be in time any more, and what it
 // holds is freed.
 func TestLateIsRefused(t *testing.T) {
@@ -372,6 +410,21 @@
 	}
 }
 
+// A request that is bound to a region gets neither pieces nor a model server elsewhere.
+func TestRegions(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "model-a", "model-b")
+	b.ask("1", 1, 1000, func(a *Ask) { a.Regions = []string{"q"} })
+	b.want("refusal without a model server there", len(b.answers) == 1 && b.answers[0].Reason == ReasonNoServer, true)
+	for _, s := range b.servers {
+		if s.ID == "model-b" {
+			s.Region = "q"
+		}
+	}
+	b.ask("2", 1, 1000, func(a *Ask) { a.Regions = []string{"q"} })
+	b.want("calls outside the region", len(b.calls), 0)
+}
+
 // A model server that broke off a request is left alone for a while.
 func TestBrokenEngineRests(t *testing.T) {
 	b := newBench(t)
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -263,6 +263,9 @@
 // fits reports whether a piece may go to a server: large results are made next to
 // their model server, unless no server there can make them soon.
 func (h *Home) fits(q *pool, m *maker, p *piece, now time.Time) bool {
+	if !p.job.allows(m.server.Region) {
+		return false
+	}
 	if p.stage.ask.ResultBytes < localBytes || m.server.Domain == p.job.domain {
 		return true
 	}
--- a/io/edge/placing.go
+++ b/io/edge/placing.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,10 +35,39 @@
 	placed map[string]string // peer address of the home of each request in progress
 }
 
-// place asks for a place at the home of the region, or at its successor.
+// place asks for a place in the region; if its goal would be missed there, in the others;
+// and if they do not take it either, in the region after all.
 func (p *placing) place(ctx context.Context, a place.Ask) (place.Answer, error) {
+	own := p.regionFor(a)
+	start := time.Now()
+	regions := []string{own}
+	for _, r := range p.roster.Regions() {
+		if r != own && (len(a.Regions) == 0 || slices.Contains(a.Regions, r)) {
+			regions = append(regions, r)
+		}
+	}
+	if len(regions) > 1 && !a.Again {
+		b := a
+		b.Elsewhere = true
+		for _, r := range regions {
+			b.Left, b.Goal = a.Left-time.Since(start), a.Goal-time.Since(start)
+			g, err := p.placeIn(ctx, r, b)
+			if err != nil || g.Granted() || g.Reason != place.ReasonBusy {
+				if r != own {
+					p.log.Info("placed_elsewhere", zap.String("request", a.ID), zap.String("region", r))
+				}
+				return g, err
+			}
+		}
+		a.Left, a.Goal = b.Left, b.Goal
+	}
+	return p.placeIn(ctx, own, a)
+}
+
+// placeIn asks for a place at the home of a region, or at its successor.
+func (p *placing) placeIn(ctx context.Context, region string, a place.Ask) (place.Answer, error) {
 	var err error
-	for _, n := range p.homes(a) {
+	for _, n := range p.homes(region) {
 		var g place.Answer
 		if g, err = p.ask(ctx, n, a); err == nil || ctx.Err() != nil {
 			return g, err
@@ -49,9 +79,9 @@
 }
 
 // homes returns the peer addresses of the homes to ask, before this node itself.
-func (p *placing) homes(a place.Ask) []string {
+func (p *placing) homes(region string) []string {
 	var l []string
-	for _, n := range p.roster.Homes(p.regionFor(a)) {
+	for _, n := range p.roster.Homes(region) {
 		if n.Peer == p.self || len(l) == mostHomes {
 			break
 		}
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -187,6 +187,41 @@
 	})
 }
 
+// Requests that would miss their goal in their own region are placed in another one, but
+// not outside the regions of their route.
+func TestPlacedElsewhere(t *testing.T) {
+	play(t, func(w *world) {
+		w.configure(2, func(c map[string]any) {
+			for _, r := range c["route-table"].([]any) {
+				if r := r.(map[string]any); r["name"] == "once" {
+					r["home-regions"] = []string{"south"}
+				}
+			}
+		})
+		time.Sleep(time.Second)
+		var g sync.WaitGroup
+		for i := range 16 {
+			path := []string{"/draft/x", "/once/x"}[i%2]
+			g.Go(func() { w.draft("c1", path, fmt.Sprint("e", i)) })
+			time.Sleep(5 * time.Millisecond)
+		}
+		g.Wait()
+		north := 0
+		for _, m := range []string{"model-a", "model-b"} {
+			for _, r := range w.servers[m].Runs() {
+				north++
+				var n int
+				if _, err := fmt.Sscanf(r.ID, "e%d", &n); err != nil || n%2 == 1 {
+					t.Errorf("%s ran %s, whose route is served in south only", m, r.ID)
+				}
+			}
+		}
+		if north == 0 {
+			t.Error("no request was placed in the other region")
+		}
+	})
+}
+
 // Routes with home regions are served there only.
 func TestHomeRegions(t *testing.T) {
 	play(t, func(w *world) {
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -442,6 +442,9 @@
 	// Servers that do not take it.
 	Avoid []string `msgpack:"avoid"`
 
+	// Another region can be asked: refuse if the goal is expected to be missed.
+	Elsewhere bool `msgpack:"elsewhere"`
+
 	// Time to the first event that earns full credit, in microseconds.
 	Goal int `msgpack:"goal"`
 
