--- a/core/place/call.go
+++ b/core/place/call.go
@@ -8,9 +8,9 @@
 const (
 	// fullPause is the pause of a server that rejected a call or had no room.
 	fullPause = 60 * time.Millisecond
-	// makerBackoff is the first pause of a server that broke off a call.
-	makerBackoff    = 400 * time.Millisecond
-	makerBackoffMax = 4 * time.Second
+	// workerBackoff is the first pause of a server that broke off a call.
+	workerBackoff    = 400 * time.Millisecond
+	workerBackoffMax = 4 * time.Second
 	// paceShare is the weight of the newest call in a server's pace.
 	paceShare = 0.3
 )
@@ -24,7 +24,7 @@
 		return
 	}
 	delete(h.calls, number)
-	c.maker.calls--
+	c.worker.calls--
 	h.learn(c, end)
 	if end != CallDone || len(results) != len(c.pieces) {
 		results = make([]PieceResult, len(c.pieces))
@@ -42,7 +42,7 @@
 
 // learn updates what is known of a server from the end of a call.
 func (h *Home) learn(c *call, end CallEnd) {
-	now, m := h.Now(), c.maker
+	now, m := h.Now(), c.worker
 	switch end {
 	case CallDone:
 		m.backoff = 0
@@ -64,14 +64,14 @@
 }
 
 // pause leaves a server alone for a while that doubles each time.
-func (h *Home) pause(m *maker) {
-	m.backoff = min(max(2*m.backoff, makerBackoff), makerBackoffMax)
+func (h *Home) pause(m *worker) {
+	m.backoff = min(max(2*m.backoff, workerBackoff), workerBackoffMax)
 	m.until = h.Now().Add(m.backoff)
 }
 
 // made takes the result of one piece of a call.
 func (h *Home) made(c *call, p *piece, r PieceResult, counted bool) {
-	m, bytes := c.maker, p.stage.ask.ResultBytes
+	m, bytes := c.worker, p.stage.ask.ResultBytes
 	alive := h.jobs[p.job.ask.ID] == p.job && !p.stage.released
 	if r.End == PieceMade && !alive {
 		m.drop(r.Handle, bytes, h.Now())
@@ -84,7 +84,7 @@
 		return
 	}
 	m.reserved -= bytes
-	p.maker = nil
+	p.worker = nil
 	if !alive {
 		return
 	}
@@ -129,10 +129,10 @@
 }
 
 // lose forgets the results of a server whose process has ended.
-func (h *Home) lose(q *pool, m *maker) {
+func (h *Home) lose(q *pool, m *worker) {
 	m.dead = true
-	fresh := &maker{server: m.server, until: m.until, backoff: m.backoff}
-	q.makers[m.server.ID] = fresh
+	fresh := &worker{server: m.server, until: m.until, backoff: m.backoff}
+	q.workers[m.server.ID] = fresh
 	for _, j := range h.jobs {
 		if j.granted != nil {
 			continue
@@ -145,10 +145,10 @@
 	}
 }
 
-func (h *Home) loseStage(q *pool, s *jobStage, m *maker) {
+func (h *Home) loseStage(q *pool, s *jobStage, m *worker) {
 	for _, p := range s.pieces {
-		if p.maker == m && p.handle != "" {
-			p.handle, p.maker = "", nil
+		if p.worker == m && p.handle != "" {
+			p.handle, p.worker = "", nil
 			s.left++
 			q.waiting = append(q.waiting, p)
 		}
--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -32,7 +32,7 @@
 		return 0
 	}
 	w := s.Pieces
-	servers := max(1, len(h.makers(h.pool(service))))
+	servers := max(1, len(h.workers(h.pool(service))))
 	each := (pieces + servers - 1) / servers
 	calls := (each + w.Batch - 1) / max(1, w.Batch)
 	return time.Duration(calls)*w.CallTime + time.Duration(min(each, w.Batch))*w.PieceTime
@@ -53,7 +53,7 @@
 	w := s.Pieces
 	full := w.CallTime + time.Duration(w.Batch)*w.PieceTime
 	rate := float64(w.Batch) / float64(full) // pieces per nanosecond of one server
-	n := max(1, len(h.makers(q)))
+	n := max(1, len(h.workers(q)))
 	before := 0
 	for _, p := range q.waiting {
 		if p.job.ask.Rank <= rank {
@@ -127,9 +127,9 @@
 	return h.backlog(j), false
 }
 
-// hopeless reports whether a job that waits is expected to miss its time limit, even if
+// missesLimit reports whether a job that waits is expected to miss its time limit, even if
 // half of what waits for its services goes behind it.
-func (h *Home) hopeless(j *job, now time.Time) bool {
+func (h *Home) missesLimit(j *job, now time.Time) bool {
 	var d time.Duration
 	for i, s := range j.stages {
 		if s.left > 0 && j.ready(s) {
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -27,7 +27,7 @@
 // Home places the model requests of a region. Set the fields before first use. It is
 // not safe for concurrent use.
 //
-// Invariants: the bytes that a maker has reserved are those of its pieces in calls
+// Invariants: the bytes that a worker has reserved are those of its pieces in calls
 // and of its results that it has not confirmed as freed; a piece is in one pool's
 // queue or in one call, not both.
 type Home struct {
@@ -44,7 +44,7 @@
 	engines map[string]*engine
 	calls   map[uint64]*call
 	frees   map[uint64]*freeing
-	looks   map[uint64]*maker
+	looks   map[uint64]*worker
 	prompts prompts
 	number  uint64
 	work    Work
@@ -78,7 +78,7 @@
 	stage   *jobStage
 	segment int
 	queued  time.Time
-	maker   *maker // in a call to it, or holding the result
+	worker  *worker // in a call to it, or holding the result
 	handle  string
 }
 
@@ -131,7 +131,7 @@
 		h.engines = map[string]*engine{}
 		h.calls = map[uint64]*call{}
 		h.frees = map[uint64]*freeing{}
-		h.looks = map[uint64]*maker{}
+		h.looks = map[uint64]*worker{}
 	}
 }
 
@@ -189,7 +189,7 @@
 	for _, p := range s.pieces {
 		h.pool(s.ask.Service).remove(p)
 		if p.handle != "" {
-			p.maker.drop(p.handle, s.ask.ResultBytes, h.Now())
+			p.worker.drop(p.handle, s.ask.ResultBytes, h.Now())
 		}
 	}
 }
@@ -354,7 +354,7 @@
 		switch {
 		case j.granted != nil && now.After(j.limit.Add(keepGranted)):
 			h.forget(id)
-		case j.granted == nil && (now.Add(h.least(j)).After(j.limit) || h.hopeless(j, now)):
+		case j.granted == nil && (now.Add(h.least(j)).After(j.limit) || h.missesLimit(j, now)):
 			h.refuse(j, ReasonLate, h.backlog(j))
 		case j.granted == nil:
 			h.advance(j)
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -309,7 +309,7 @@
 
 // A request that waits behind others is refused when it is expected to miss its time limit,
 // not only when the limit is there.
-func TestHopelessIsRefusedEarly(t *testing.T) {
+func TestMissedLimitIsRefusedEarly(t *testing.T) {
 	b := newBench(t)
 	b.only("encode-a", "model-a")
 	b.ask("1", 8, 1000, nil)
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -32,11 +32,11 @@
 type pool struct {
 	service string
 	waiting []*piece
-	makers  map[string]*maker
+	workers map[string]*worker
 }
 
-// maker is a server of a stage.
-type maker struct {
+// worker is a server of a stage.
+type worker struct {
 	server   *relay.Server
 	calls    int   // in progress
 	reserved int64 // bytes of results, made or in the making
@@ -62,7 +62,7 @@
 
 // call is a call in progress.
 type call struct {
-	maker    *maker
+	worker   *worker
 	pool     *pool
 	pieces   []*piece
 	started  time.Time
@@ -71,14 +71,14 @@
 
 // freeing is a release of results in progress.
 type freeing struct {
-	maker   *maker
+	worker  *worker
 	results []result
 }
 
 func (h *Home) pool(service string) *pool {
 	q := h.pools[service]
 	if q == nil {
-		q = &pool{service: service, makers: map[string]*maker{}}
+		q = &pool{service: service, workers: map[string]*worker{}}
 		h.pools[service] = q
 	}
 	return q
@@ -108,9 +108,9 @@
 		}
 	}
 	for _, q := range h.pools {
-		for id, m := range q.makers {
+		for id, m := range q.workers {
 			if !known[id] && m.calls == 0 {
-				delete(q.makers, id)
+				delete(q.workers, id)
 			}
 		}
 	}
@@ -123,7 +123,7 @@
 }
 
 // slowness orders servers by their pace; one not seen yet counts as usual.
-func (m *maker) slowness() float64 {
+func (m *worker) slowness() float64 {
 	if m.pace == 0 {
 		return 1
 	}
@@ -131,29 +131,29 @@
 }
 
 // usable returns the servers of a pool that may get a call now, the best first.
-func (h *Home) usable(q *pool, w *relay.PieceWork) []*maker {
+func (h *Home) usable(q *pool, w *relay.PieceWork) []*worker {
 	now := h.Now()
-	var l []*maker
-	for _, m := range h.makers(q) {
+	var l []*worker
+	for _, m := range h.workers(q) {
 		if m.calls < w.Calls && !m.looking && !now.Before(m.until) {
 			l = append(l, m)
 		}
 	}
-	slices.SortStableFunc(l, func(a, b *maker) int {
+	slices.SortStableFunc(l, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(a.calls, b.calls), cmp.Compare(a.slowness(), b.slowness()))
 	})
 	return l
 }
 
-// makers returns the servers of a pool that the home uses: those of its region, or
+// workers returns the servers of a pool that the home uses: those of its region, or
 // of others if there is none.
-func (h *Home) makers(q *pool) []*maker {
-	var near, far []*maker
+func (h *Home) workers(q *pool) []*worker {
+	var near, far []*worker
 	for _, s := range h.View().Servers[q.service] {
-		m := q.makers[s.ID]
+		m := q.workers[s.ID]
 		if m == nil {
-			m = &maker{server: s}
-			q.makers[s.ID] = m
+			m = &worker{server: s}
+			q.workers[s.ID] = m
 			h.look(m)
 		}
 		m.server = s
@@ -196,7 +196,7 @@
 // batch takes the pieces for the next call of a server out of the queue, the most
 // urgent first, as far as its room goes. The pieces of one stage of a request stay
 // together where they fit into a call: results take room until all of them exist.
-func (h *Home) batch(q *pool, m *maker, w *relay.PieceWork) []*piece {
+func (h *Home) batch(q *pool, m *worker, w *relay.PieceWork) []*piece {
 	now := h.Now()
 	var taken []*piece
 	blocked := false // a more urgent group waits for room
@@ -238,7 +238,7 @@
 }
 
 // groups returns what waits and may go to a server, the most urgent first.
-func (h *Home) groups(q *pool, m *maker, now time.Time) []*group {
+func (h *Home) groups(q *pool, m *worker, now time.Time) []*group {
 	of := map[*jobStage]*group{}
 	var l []*group
 	for _, p := range q.waiting {
@@ -262,7 +262,7 @@
 
 // fits reports whether a piece may go to a server: large results are made next to
 // their model server, unless no server there can make them soon.
-func (h *Home) fits(q *pool, m *maker, p *piece, now time.Time) bool {
+func (h *Home) fits(q *pool, m *worker, p *piece, now time.Time) bool {
 	if !p.job.allows(m.server.Region) {
 		return false
 	}
@@ -272,7 +272,7 @@
 	if now.Sub(p.queued) >= spillAfter {
 		return true
 	}
-	return !slices.ContainsFunc(h.makers(q), func(o *maker) bool {
+	return !slices.ContainsFunc(h.workers(q), func(o *worker) bool {
 		return o.server.Domain == p.job.domain && !now.Before(o.until)
 	})
 }
@@ -289,15 +289,15 @@
 }
 
 // send makes a call.
-func (h *Home) send(q *pool, m *maker, l []*piece, w *relay.PieceWork) {
+func (h *Home) send(q *pool, m *worker, l []*piece, w *relay.PieceWork) {
 	h.number++
 	expected := time.Duration(float64(w.CallTime+time.Duration(len(l))*w.PieceTime) * max(1, m.pace))
-	c := &call{maker: m, pool: q, pieces: l, started: h.Now(), expected: expected}
+	c := &call{worker: m, pool: q, pieces: l, started: h.Now(), expected: expected}
 	h.calls[h.number] = c
 	m.calls++
 	k := Call{Number: h.number, Server: *m.server, Waiting: len(q.waiting), Timeout: callPatience*expected + callSlack}
 	for _, p := range l {
-		p.maker = m
+		p.worker = m
 		m.reserved += p.stage.ask.ResultBytes
 		k.Pieces = append(k.Pieces, p.item(c.started))
 	}
--- a/core/place/room.go
+++ b/core/place/room.go
@@ -19,7 +19,7 @@
 )
 
 // room returns the bytes that new results may take at a server.
-func (m *maker) room(w *relay.PieceWork, now time.Time) int64 {
+func (m *worker) room(w *relay.PieceWork, now time.Time) int64 {
 	n := w.RoomBytes - m.reserved
 	if now.Before(m.othersTo) {
 		n -= m.others
@@ -28,7 +28,7 @@
 }
 
 // drop queues a handle to be freed. Its room counts until the server confirms.
-func (m *maker) drop(handle string, bytes int64, now time.Time) {
+func (m *worker) drop(handle string, bytes int64, now time.Time) {
 	if !m.dead {
 		m.freeable = append(m.freeable, result{handle: handle, bytes: bytes, since: now})
 	}
@@ -38,13 +38,13 @@
 func (h *Home) free() {
 	now := h.Now()
 	for _, q := range h.sorted() {
-		for _, id := range slices.Sorted(maps.Keys(q.makers)) {
-			m := q.makers[id]
+		for _, id := range slices.Sorted(maps.Keys(q.workers)) {
+			m := q.workers[id]
 			if m.freeing || len(m.freeable) == 0 || now.Before(m.freeAt) {
 				continue
 			}
 			n := min(len(m.freeable), mostHandles)
-			f := &freeing{maker: m, results: slices.Clone(m.freeable[:n])}
+			f := &freeing{worker: m, results: slices.Clone(m.freeable[:n])}
 			m.freeable = m.freeable[n:]
 			m.freeing = true
 			h.number++
@@ -64,7 +64,7 @@
 
 // lapse forgets results that their servers have dropped by themselves.
 func (q *pool) lapse(w *relay.PieceWork, now time.Time) {
-	for _, m := range q.makers {
+	for _, m := range q.workers {
 		for len(m.freeable) > 0 && w.Keep > 0 && now.Sub(m.freeable[0].since) > w.Keep {
 			m.reserved -= m.freeable[0].bytes
 			m.freeable = m.freeable[1:]
@@ -80,7 +80,7 @@
 		return
 	}
 	delete(h.frees, number)
-	m := f.maker
+	m := f.worker
 	m.freeing = false
 	switch {
 	case m.dead:
@@ -98,9 +98,9 @@
 }
 
 // ended notes that the process of a server has ended.
-func (h *Home) ended(m *maker) {
+func (h *Home) ended(m *worker) {
 	for _, q := range h.sorted() {
-		if q.makers[m.server.ID] == m {
+		if q.workers[m.server.ID] == m {
 			h.pause(m)
 			h.lose(q, m)
 		}
@@ -108,7 +108,7 @@
 }
 
 // look asks a server for its room, and shows whether its process runs.
-func (h *Home) look(m *maker) {
+func (h *Home) look(m *worker) {
 	if m.looking {
 		return
 	}
--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -34,7 +34,7 @@
 		for _, x := range silent {
 			n.probe(ctx, x)
 		}
-		n.bury(ctx, lost)
+		n.removeLost(ctx, lost)
 	})
 }
 
@@ -80,16 +80,16 @@
 	}
 }
 
-// bury removes the rows of nodes that are gone for good. Another node that does the same
+// removeLost removes the rows of nodes that are gone for good. Another node that does the same
 // leaves a conflict, which tells that it is done.
-func (n *Node) bury(ctx context.Context, lost []roster.Node) {
+func (n *Node) removeLost(ctx context.Context, lost []roster.Node) {
 	for _, x := range lost {
 		err := platform.Unregister(ctx, &n.store, x)
 		if _, ok := errors.AsType[*store.ConflictError](err); ok {
 			continue
 		}
 		if err != nil {
-			n.Log.Warn("bury_failed", zap.String("peer", x.Peer), zap.Error(err))
+			n.Log.Warn("remove_failed", zap.String("peer", x.Peer), zap.Error(err))
 			continue
 		}
 		n.Log.Info("node_gone", zap.String("peer", x.Peer))
