--- a/cmd/bergamotspring/main.go
+++ b/cmd/bergamotspring/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,6 +12,7 @@
 	"bergamotspring/io/edge"
 	"bergamotspring/io/node"
 	"bergamotspring/io/operator/command"
+	"bergamotspring/platform"
 )
 
 // version is set by the linker.
@@ -25,7 +27,11 @@
 }
 
 func runEdge(ctx context.Context, o command.EdgeOptions) error {
-	return edge.Run(ctx, edge.Options{Settings: o.Settings, Metrics: o.MetricsPort})
+	err := edge.Run(ctx, edge.Options{Settings: o.Settings, Metrics: o.MetricsPort})
+	if _, ok := errors.AsType[*platform.SettingsError](err); ok {
+		return &command.SettingsError{Cause: err}
+	}
+	return err
 }
 
 // signals is called only by commands that drain, so that the others end at once.
--- a/io/operator/command/app.go
+++ b/io/operator/command/app.go
@@ -95,6 +95,16 @@
 func (e *codeError) Error() string { return e.err.Error() }
 func (e *codeError) Unwrap() error { return e.err }
 
+// SettingsError reports settings with which a node cannot run.
+type SettingsError struct {
+	Cause error
+}
+
+func (e *SettingsError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *SettingsError) Unwrap() error { return e.Cause }
+
 // exited is what kong's help and usage exits panic with.
 type exited int
 
@@ -165,6 +175,7 @@
 	var u *operator.UnreachableError
 	var d *schema.Error
 	var s *setting.Error
+	var t *SettingsError
 	switch {
 	case errors.As(err, &c):
 		return c.code
@@ -176,7 +187,7 @@
 		return ExitUnreachable
 	case errors.As(err, &d):
 		return ExitInvalid
-	case errors.As(err, &s):
+	case errors.As(err, &s), errors.As(err, &t):
 		return ExitUsage
 	}
 	return ExitFailure
