Pass on whole what is longer than the part of an answer that is held

Cause, found on reading: the time for one server of a repeatable request was a context that ended when its first megabyte had been read, which closed the connection under the rest. TestLargeAnswer failed first: 1,048,576 of 3,145,728 bytes.

--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -77,6 +77,21 @@
 	})
 }
 
+// An answer that is too large to be held back is passed on whole, as it comes.
+func TestLargeAnswer(t *testing.T) {
+	play(t, func(w *world) {
+		const size = 3 << 20
+		for _, d := range []string{"a", "b", "c"} {
+			w.servers["plain-"+d].Size = size
+		}
+		for _, path := range []string{"/read/x", "/file/x"} {
+			if r := w.ask("a1", http.MethodGet, path, "large"); r.status != 200 || r.err != nil || len(r.body) != size {
+				t.Errorf("%s: got %d with %d bytes, %v, want %d bytes", path, r.status, len(r.body), r.err, size)
+			}
+		}
+	})
+}
+
 // Requests that no configuration allows are answered by the node itself.
 func TestOwnAnswers(t *testing.T) {
 	for _, c := range []struct {
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -39,6 +39,7 @@
 	more     bool
 	notRun   bool // nothing was run
 	err      error
+	cancel   context.CancelFunc // ends what is left of the attempt; nil: nothing
 }
 
 // call serves a request of a plain service.
@@ -92,16 +93,15 @@
 // try sends a request to one server and reads its answer.
 func (q *request) try(ctx context.Context, t *relay.Server, runs int) *attempt {
 	s := q.server
-	if q.route.Repeatable && runs+1 < q.route.Attempts {
-		c, cancel := context.WithTimeout(ctx, max(attemptMin, time.Duration(attemptShare*float64(q.left()))))
-		defer cancel()
-		ctx = c
-	}
 	done := s.Balance.Begin(t.ID, time.Now())
-	a := q.send(ctx, t, Send{Server: t.ID, Organisation: q.organisation(), Left: q.left()})
+	c, cancel := context.WithCancel(ctx)
+	late := time.AfterFunc(q.patience(runs), cancel)
+	a := q.send(c, t, Send{Server: t.ID, Organisation: q.organisation(), Left: q.left()})
+	a.cancel = cancel // not before the rest of a long answer was read
 	if a.err == nil {
 		a.read()
 	}
+	late.Stop()
 	left := errors.Is(context.Cause(ctx), context.Canceled)
 	failed := a.err != nil && !left || a.err == nil && !a.notRun && a.response.Status >= http.StatusInternalServerError
 	done(time.Now(), failed, a.notRun || left)
@@ -115,6 +115,15 @@
 	return a
 }
 
+// patience returns how long one server may take for the part of its answer that is held:
+// all the time left, unless another server may be asked after it.
+func (q *request) patience(runs int) time.Duration {
+	if !q.route.Repeatable || runs+1 >= q.route.Attempts {
+		return q.left()
+	}
+	return max(attemptMin, time.Duration(attemptShare*float64(q.left())))
+}
+
 // broke tells that a server may have crashed while it ran the request.
 func (q *request) broke(a *attempt, t *relay.Server) {
 	if !a.notRun {
@@ -155,6 +164,9 @@
 	if a.response != nil {
 		_ = a.response.Body.Close() // given up
 	}
+	if a.cancel != nil {
+		a.cancel()
+	}
 }
 
 // finish ends a request with its last attempt.
