Begin no cancellation while a client of backend servers closes

Traced from the race report: Node.close -> Client.Close waits, Client.Complete -> cancel adds. Ruled out: the new code, which does not use this client. TestNoCancelAfterClose failed first (one cancellation after Close).

--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -249,3 +249,18 @@
 		}
 	})
 }
+
+// Guards against a cancellation that begins while Close waits for those under way, which
+// is a data race, and against one that begins after it and that nobody waits for.
+func TestNoCancelAfterClose(t *testing.T) {
+	var got atomic.Int32
+	h := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { got.Add(1) })
+	bubble(t, h, func(_ *testing.T, _ *standin.Network, c *Client) {
+		c.Close()
+		c.cancel("s:80", "late")
+		time.Sleep(time.Second)
+	})
+	if n := got.Load(); n != 0 {
+		t.Errorf("the engine got %d cancellations after Close, want none", n)
+	}
+}
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -50,8 +50,12 @@
 	keep    *http.Transport // reuses connections, for repeatable calls
 	fresh   *http.Transport // one connection for each call
 	cancels chan struct{}
-	running sync.WaitGroup
-	faults  [faultCount]atomic.Uint64
+
+	mu      sync.Mutex
+	closed  bool           // no cancellation begins any more
+	running sync.WaitGroup // cancellations; added to under mu, while not closed
+
+	faults [faultCount]atomic.Uint64
 }
 
 // Call is what every call has.
@@ -68,14 +72,28 @@
 // Faults returns how many calls ended with fault f.
 func (c *Client) Faults(f Fault) uint64 { return c.faults[f].Load() }
 
-// Close closes idle connections and waits for cancellations under way.
+// Close closes idle connections and waits for cancellations under way. Calls that still
+// run are not cancelled by message any more; the server sees their connections close.
 func (c *Client) Close() {
 	c.once.Do(c.init)
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	c.running.Wait()
 	c.keep.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
 }
 
+// begin counts a cancellation that Close has to wait for, unless the client is closed.
+func (c *Client) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.running.Add(1)
+	}
+	return !c.closed
+}
+
 func (c *Client) init() {
 	c.cancels = make(chan struct{}, maxCancels)
 	n := c.MaxIdle
--- a/io/backend/engine.go
+++ b/io/backend/engine.go
@@ -253,7 +253,10 @@
 	default:
 		return
 	}
-	c.running.Add(1)
+	if !c.begin() {
+		<-c.cancels
+		return
+	}
 	go func() {
 		defer c.running.Done()
 		defer func() { <-c.cancels }()
