--- a/core/limit/home_test.go
+++ b/core/limit/home_test.go
@@ -93,6 +93,33 @@
 	}
 }
 
+// Guards against cold servers that stay idle because calls, none of which has much time,
+// all go to the cold server that is furthest in its ramp.
+func TestColdServersShareCalls(t *testing.T) {
+	r := warm(t, 3)
+	r.asks(3, Ask{})
+	for _, s := range []string{"s0", "s1", "s2"} {
+		r.end(s, Cold)
+	}
+	calls := map[string]int{}
+	for range 9 {
+		r.until = r.now.Add(time.Minute)
+		r.tick(rampStep)
+		r.asks(1, Ask{Deadline: 150 * time.Millisecond})
+		for _, s := range []string{"s0", "s1", "s2"} {
+			if r.at(s) > 0 {
+				calls[s]++
+				r.end(s, Good)
+			}
+		}
+	}
+	for _, s := range []string{"s0", "s1", "s2"} {
+		if got, want := calls[s], 3; got != want {
+			t.Errorf("%d calls at %s, want %d", got, s, want)
+		}
+	}
+}
+
 // Guards against a ramp that fast answers drive faster than doubling in each step,
 // and one that old answers or a failure leave high.
 func TestRamp(t *testing.T) {
--- a/core/limit/server.go
+++ b/core/limit/server.go
@@ -64,6 +64,11 @@
 // waited for them would miss their deadlines beside free groups elsewhere.
 func (h *Home) anyUsable() bool { return slices.ContainsFunc(h.servers, h.usable) }
 
+// anyWarm reports whether a warm server takes work now.
+func (h *Home) anyWarm() bool {
+	return slices.ContainsFunc(h.servers, func(s *server) bool { return s.ramp.done && h.usable(s) })
+}
+
 // anyFor reports whether c may ever run on a server of the group as it is.
 func (h *Home) anyFor(c *call) bool {
 	for _, s := range h.servers {
@@ -123,10 +128,10 @@
 // score is the use of s after one more call, as a share of its current limit. A
 // cold server so gets work when the warm ones are as full, and one call each
 // rampStep before, or it would never become warm under light load. Calls with
-// little time left are not used for that.
+// little time left are not used for that while a warm server takes them.
 func (h *Home) score(s *server, c *call) float64 {
 	if !s.ramp.done && s.inFlight == 0 && h.now-s.lastGrant >= rampStep {
-		if c.deadline-h.now > 4*h.median() {
+		if c.deadline-h.now > 4*h.median() || !h.anyWarm() {
 			return 0
 		}
 	}
