Leave servers alone whose address another one has; play the loss of everything and callers that leave

TestReusedAddress, written for the rule on addresses that are used again, found a fault: a server that answered 421 was picked first for each further request, each of which then paid for a repeat, so that after ten of them in ten seconds requests were refused (503) though two other servers were free. A plain server that answered 421 now rests like one that broke a request off, and a model server like one that could not be reached.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -174,7 +174,7 @@
 	RunStarted  RunEnd = iota // the first event came; the inputs are not needed any more
 	RunDone                   // ended well
 	RunRejected               // the server states that it did not run it
-	RunUnsent                 // it could not be reached
+	RunUnsent                 // it could not be reached, or another server has its address
 	RunBroken                 // no connection, cut off or silent
 	RunLeft                   // the caller left, or the time limit passed
 )
--- a/io/edge/world_test.go
+++ b/io/edge/world_test.go
@@ -7,10 +7,13 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +38,7 @@
 	store   *outside.Store
 	results *outside.Results
 	nodes   map[string]*running
+	killed  []*running // whose name another process has taken over
 	servers map[string]*outside.Server
 	https   []*http.Server
 	wait    sync.WaitGroup
@@ -43,9 +47,20 @@
 
 // running is a node under way.
 type running struct {
-	node *Node
-	stop context.CancelFunc
-	done chan error
+	node    *Node
+	stop    context.CancelFunc
+	done    chan error
+	dead    atomic.Bool // it opens no connections any more
+	listens []net.Listener
+}
+
+func (r *running) dial(d func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if r.dead.Load() {
+			return nil, net.ErrClosed
+		}
+		return d(ctx, network, address)
+	}
 }
 
 // lines collects the log of all nodes.
@@ -187,8 +202,13 @@
 	}
 	log := newLogger(zapcore.AddSync(w.log))
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{stop: stop, done: make(chan error, 1), node: &Node{
-		Settings: s, Log: log.With(zap.String("node", name)), Dial: w.net.Dialer(ip), Listen: func(_, address string) (net.Listener, error) { return w.net.Listen(address) },
+	r := &running{stop: stop, done: make(chan error, 1)}
+	r.node = &Node{Settings: s, Log: log.With(zap.String("node", name)), Dial: r.dial(w.net.Dialer(ip)), Listen: func(_, address string) (net.Listener, error) {
+		l, err := w.net.Listen(address)
+		if err == nil {
+			r.listens = append(r.listens, l)
+		}
+		return l, err
 	}}
 	w.nodes[name] = r
 	go func() { r.done <- r.node.Run(ctx) }()
@@ -200,11 +220,25 @@
 	w.net.SetHost(ip, standin.HostRefuses)
 }
 
+// restart starts a node anew that was killed, at the same addresses.
+func (w *world) restart(name string) {
+	r := w.nodes[name]
+	r.dead.Store(true)
+	for _, l := range r.listens {
+		_ = l.Close()
+	}
+	w.killed = append(w.killed, r)
+	ip := r.node.Settings.IP
+	w.net.SetHost(ip, standin.HostUp)
+	w.start(name, ip)
+}
+
 func (w *world) close() {
-	for _, r := range w.nodes {
+	all := append(slices.Collect(maps.Values(w.nodes)), w.killed...)
+	for _, r := range all {
 		r.stop()
 	}
-	for _, r := range w.nodes {
+	for _, r := range all {
 		<-r.done
 		r.node.home.work.Wait()
 	}
@@ -227,6 +261,11 @@
 
 // ask sends a request to a node and returns what came of it.
 func (w *world) ask(node, method, path, id string, more ...string) reply {
+	return w.send(context.Background(), node, method, path, id, more...)
+}
+
+// send sends a request of a caller that leaves when the context ends.
+func (w *world) send(ctx context.Context, node, method, path, id string, more ...string) reply {
 	s := w.nodes[node].node.Settings
 	t := &http.Transport{DialContext: w.net.Dialer("10.8.0.1"), DisableCompression: true}
 	defer t.CloseIdleConnections()
@@ -237,7 +276,7 @@
 	if len(more) > 1 && more[0] == "X-Body" {
 		body = strings.NewReader(more[1])
 	}
-	r, err := http.NewRequest(method, "http://"+s.Callers+path, body)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+s.Callers+path, body)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -260,11 +299,15 @@
 
 // draft asks for a stream with two stages.
 func (w *world) draft(node, path, id string, more ...string) reply {
-	h := []string{
+	return w.ask(node, http.MethodPost, path, id, append(model(id), more...)...)
+}
+
+// model returns the headers of a model request.
+func model(id string) []string {
+	return []string{
 		"X-Bergamotspring-Model", "m", "X-Bergamotspring-Token-Usage", "1000,50", "X-Bergamotspring-Prefix-Hash", "aa:800,bb" + id + ":200",
 		"X-Bergamotspring-Chunks", "2,3", "X-Bergamotspring-Chunk-Key", "k" + id,
 	}
-	return w.ask(node, http.MethodPost, path, id, append(h, more...)...)
 }
 
 // fault makes the first of the next requests to any model server meet a fault.
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -109,6 +109,9 @@
 		s.Balance.Pause(t.ID, time.Now())
 		q.broke(a, t)
 	}
+	if a.moved() {
+		s.Balance.Pause(t.ID, time.Now())
+	}
 	if a.err != nil || a.notRun {
 		q.log("send_failed", zap.String("server", t.ID), zap.Bool("not_run", a.notRun), zap.Error(a.err))
 	}
@@ -149,6 +152,11 @@
 	return &attempt{response: r, notRun: s.Protocol.NotRun(r.Status, r.Header)}
 }
 
+// moved reports whether another server has the address.
+func (a *attempt) moved() bool {
+	return a.err == nil && a.response.Status == http.StatusMisdirectedRequest
+}
+
 // read reads the body of the answer, up to heldAnswer bytes.
 func (a *attempt) read() {
 	b, err := io.ReadAll(io.LimitReader(a.response.Body, heldAnswer))
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -162,7 +162,11 @@
 		q.broke(a, &g.Server)
 		return runBroken
 	case a.notRun:
-		q.report(g, place.RunRejected)
+		if a.moved() {
+			q.report(g, place.RunUnsent)
+		} else {
+			q.report(g, place.RunRejected)
+		}
 		q.log("not_run", zap.String("server", g.Server.ID), zap.Int("status", a.response.Status))
 		if a.response.Status == http.StatusConflict {
 			return runGone
