Use a server's start in place of only reading it; take out what nothing uses; log what decided

- A server that starts anew under its id holds nothing of before.
Its start (Born) was decoded and never read, so the home kept counting its results and prompts; calls that used them ended 'gone' and paid for repeats.
Now the home forgets them at the entry's change.
TestStartsAnewUnderItsID failed first (no call to make the results again; the prompt was still believed).
Piece.Segment, a platform's word, is Piece.Index.
- core/place/estimate.go walked the stages of a job in five functions; one walk (through) takes what to start from and what a stage costs.
Behaviour is meant to be the same.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -26,19 +26,21 @@
 	b.first[0]++
 }
 
-// Take counts a repeat and reports whether it may be sent. Nothing is counted if not.
-func (b *Repeats) Take(now time.Time) bool {
+// Take counts a repeat and reports whether it may be sent, and how many more may be then.
+// Nothing is counted if not.
+func (b *Repeats) Take(now time.Time) (left int, ok bool) {
 	b.advance(now)
 	first, repeats := 0, 0
 	for i := range b.first {
 		first += b.first[i]
 		repeats += b.repeats[i]
 	}
-	if float64(repeats+1) > b.Slack+b.Ratio*float64(first) {
-		return false
+	after := b.Slack + b.Ratio*float64(first) - float64(repeats+1)
+	if after < 0 {
+		return 0, false
 	}
 	b.repeats[0]++
-	return true
+	return int(after), true
 }
 
 // advance moves the buckets so that the newest one holds now.
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -12,7 +12,7 @@
 	var sent []time.Time
 	for range 400 {
 		now = now.Add(100 * time.Millisecond)
-		if b.Take(now) {
+		if _, ok := b.Take(now); ok {
 			sent = append(sent, now)
 		}
 	}
@@ -35,20 +35,21 @@
 func TestRatioFollowsFirstSends(t *testing.T) {
 	b := Repeats{Ratio: 0.2, Window: 10 * time.Second}
 	now := time.Unix(0, 0)
-	if b.Take(now) {
+	if _, ok := b.Take(now); ok {
 		t.Error("a repeat without any first send")
 	}
 	for range 10 {
 		b.First(now)
 	}
-	got := 0
-	for b.Take(now) {
-		got++
-	}
-	if got != 2 {
-		t.Errorf("got %d repeats for 10 first sends, want 2", got)
+	for _, want := range []struct {
+		left int
+		ok   bool
+	}{{1, true}, {0, true}, {0, false}} {
+		if left, ok := b.Take(now); left != want.left || ok != want.ok {
+			t.Errorf("after 10 first sends: got %d left, taken: %v, want %+v", left, ok, want)
+		}
 	}
-	if b.Take(now.Add(11 * time.Second)) {
+	if _, ok := b.Take(now.Add(11 * time.Second)); ok {
 		t.Error("first sends of an earlier window still count")
 	}
 }
--- a/core/place/call.go
+++ b/core/place/call.go
@@ -128,8 +128,9 @@
 	h.advance(j)
 }
 
-// lose forgets the results of a server whose process has ended.
-func (h *Home) lose(q *pool, m *worker) {
+// lose forgets the results of a server whose process has ended, and returns what is known
+// of the next one under its id.
+func (h *Home) lose(q *pool, m *worker) *worker {
 	m.dead = true
 	fresh := &worker{server: m.server, until: m.until, backoff: m.backoff}
 	q.workers[m.server.ID] = fresh
@@ -143,6 +144,7 @@
 			}
 		}
 	}
+	return fresh
 }
 
 func (h *Home) loseStage(q *pool, s *jobStage, m *worker) {
--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -84,6 +84,9 @@
 		e = &engine{}
 		h.engines[s.ID] = e
 	}
+	if e.server != nil && e.server.Born != s.Born {
+		h.prompts.forget(s.ID)
+	}
 	e.server = s
 	return e
 }
@@ -117,18 +120,26 @@
 	return far
 }
 
-// chooseEngine returns the model server for a job, or nil. Servers in the failure
-// domain of the job's results come first, then the order of the prompt's group.
-func (h *Home) chooseEngine(j *job) *engine {
+// choice is a model server for a job, nil if there is none, and what it was chosen from.
+type choice struct {
+	*engine
+	candidates int
+	mean       float64 // load of the candidates
+}
+
+// chooseEngine returns the model server for a job. Servers in the failure domain of the
+// job's results come first, then the order of the prompt's group.
+func (h *Home) chooseEngine(j *job) choice {
 	l := h.candidates(j)
 	if len(l) == 0 {
-		return nil
+		return choice{}
 	}
 	sum := 0.0
 	for _, e := range l {
 		sum += e.load()
 	}
-	bound := loadFactor*sum/float64(len(l)) + loadSlack
+	c := choice{candidates: len(l), mean: sum / float64(len(l))}
+	bound := loadFactor*c.mean + loadSlack
 	slices.SortFunc(l, func(a, b *engine) int {
 		return cmp.Or(
 			cmp.Compare(j.away(a), j.away(b)),
@@ -137,10 +148,12 @@
 	})
 	for _, e := range l {
 		if e.load() < bound {
-			return e
+			c.engine = e
+			return c
 		}
 	}
-	return slices.MinFunc(l, func(a, b *engine) int { return cmp.Compare(a.load(), b.load()) })
+	c.engine = slices.MinFunc(l, func(a, b *engine) int { return cmp.Compare(a.load(), b.load()) })
+	return c
 }
 
 // fetch returns the address of the server from which the chosen one should fetch parts
--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -63,20 +64,21 @@
 	return time.Duration(float64(before) / rate / float64(n))
 }
 
-// after returns the time that a job needs from the end of a stage on.
-func (h *Home) after(j *job, n int) time.Duration {
+// through returns the longest time through the stages of a job that are not made yet, from
+// those that are picked on.
+func (j *job) through(pick func(*jobStage) bool, cost func(*jobStage) time.Duration) time.Duration {
 	var d time.Duration
-	for i, s := range j.stages {
-		for _, a := range s.ask.After {
-			if a == n && s.left > 0 {
-				d = max(d, h.callTime(s.ask.Service, s.left)+h.after(j, i))
-			}
+	for _, s := range j.stages {
+		if s.left > 0 && pick(s) {
+			d = max(d, cost(s)+j.following(s, cost))
 		}
 	}
-	if d > 0 {
-		return d
-	}
-	return j.model()
+	return d
+}
+
+// following returns the longest time through the stages that follow one.
+func (j *job) following(s *jobStage, cost func(*jobStage) time.Duration) time.Duration {
+	return j.through(func(f *jobStage) bool { return slices.Contains(f.ask.After, s.index) }, cost)
 }
 
 // model returns the time from a grant to the first event.
@@ -84,28 +86,22 @@
 	return firstEvent + time.Duration(j.ask.Tokens)*readPerToken
 }
 
-// least returns the least time in which a job can have its first event.
-func (h *Home) least(j *job) time.Duration {
-	d := grantSlack
-	for i, s := range j.stages {
-		if s.left > 0 {
-			d = max(d, h.callTime(s.ask.Service, 1)+h.leastAfter(j, i))
-		}
+// single is the cost of a stage of which one piece is left.
+func (h *Home) single(s *jobStage) time.Duration { return h.callTime(s.ask.Service, 1) }
+
+// left is the cost of what is left of a stage, without waiting.
+func (h *Home) left(s *jobStage) time.Duration { return h.callTime(s.ask.Service, s.left) }
+
+// queued returns the cost of whole stages of a job with the waits for their services.
+func (h *Home) queued(j *job) func(*jobStage) time.Duration {
+	return func(s *jobStage) time.Duration {
+		return h.wait(s.ask.Service, j.ask.Rank) + h.callTime(s.ask.Service, s.ask.Pieces)
 	}
-	return d
 }
 
-// leastAfter is after with single pieces and without the model's time.
-func (h *Home) leastAfter(j *job, n int) time.Duration {
-	var d time.Duration
-	for i, s := range j.stages {
-		for _, a := range s.ask.After {
-			if a == n && s.left > 0 {
-				d = max(d, h.callTime(s.ask.Service, 1)+h.leastAfter(j, i))
-			}
-		}
-	}
-	return d
+// least returns the least time in which a job can have its first event.
+func (h *Home) least(j *job) time.Duration {
+	return max(grantSlack, j.through(func(*jobStage) bool { return true }, h.single))
 }
 
 // backlog returns the longest wait of a job's services, as the time after which it is
@@ -118,10 +114,10 @@
 	return min(d, retryMax)
 }
 
-// admit reports whether a job can have its first event within its time limit, and
+// admit reports whether a new job can have its first event within its time limit, and
 // otherwise after which time it is worth coming back.
 func (h *Home) admit(j *job) (time.Duration, bool) {
-	if d := h.need(j); float64(d) <= admitShare*float64(j.ask.Left) {
+	if float64(h.need(j)) <= admitShare*float64(j.ask.Left) {
 		return 0, true
 	}
 	return h.backlog(j), false
@@ -130,40 +126,26 @@
 // missesLimit reports whether a job that waits is expected to miss its time limit, even if
 // half of what waits for its services goes behind it.
 func (h *Home) missesLimit(j *job, now time.Time) bool {
-	var d time.Duration
-	for i, s := range j.stages {
-		if s.left > 0 && j.ready(s) {
-			d = max(d, h.path(j, i)-h.wait(s.ask.Service, j.ask.Rank)/2)
+	d := j.through(j.ready, func(s *jobStage) time.Duration {
+		w := h.wait(s.ask.Service, j.ask.Rank)
+		if j.ready(s) {
+			w /= 2
 		}
-	}
+		return w + h.callTime(s.ask.Service, s.ask.Pieces)
+	})
 	return now.Add(d + firstEvent).After(j.limit)
 }
 
 // need returns the expected time until a new job's first event.
 func (h *Home) need(j *job) time.Duration {
-	var d time.Duration
-	for i, s := range j.stages {
-		if len(s.ask.After) == 0 && s.left > 0 {
-			d = max(d, h.path(j, i))
-		}
-	}
-	return d + j.model()
+	first := func(s *jobStage) bool { return len(s.ask.After) == 0 }
+	return j.through(first, h.queued(j)) + j.model()
 }
 
-// path returns the expected time from now through a stage and the longest chain of
-// stages that follow it.
-func (h *Home) path(j *job, n int) time.Duration {
-	s := j.stages[n]
-	d := h.wait(s.ask.Service, j.ask.Rank) + h.callTime(s.ask.Service, s.ask.Pieces)
-	var f time.Duration
-	for i, t := range j.stages {
-		for _, a := range t.ask.After {
-			if a == n && t.left > 0 {
-				f = max(f, h.path(j, i))
-			}
-		}
-	}
-	return d + f
+// path returns the expected time from now through a stage and those that follow it.
+func (h *Home) path(j *job, s *jobStage) time.Duration {
+	cost := h.queued(j)
+	return cost(s) + j.following(s, cost)
 }
 
 // order says which of two pieces goes first: the more urgent rank; within it the one that
@@ -177,7 +159,7 @@
 // order returns the order of a piece.
 func (h *Home) order(p *piece, now time.Time) order {
 	j := p.job
-	need := h.callTime(p.stage.ask.Service, len(p.stage.pieces)) + h.after(j, p.stage.index)
+	need := h.callTime(p.stage.ask.Service, len(p.stage.pieces)) + j.following(p.stage, h.left) + j.model()
 	o := order{rank: j.ask.Rank, slack: j.goal.Sub(now) - need}
 	if o.slack < 0 {
 		o.late = 1
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -74,12 +74,12 @@
 
 // piece is one piece of one stage of a job.
 type piece struct {
-	job     *job
-	stage   *jobStage
-	segment int
-	queued  time.Time
-	worker  *worker // in a call to it, or holding the result
-	handle  string
+	job    *job
+	stage  *jobStage
+	index  int // in its stage
+	queued time.Time
+	worker *worker // in a call to it, or holding the result
+	handle string
 }
 
 // Take drains what has to be done since the last Take.
@@ -100,7 +100,7 @@
 	h.forget(a.ID)
 	j := &job{ask: a, arrived: now, goal: now.Add(a.Goal), limit: now.Add(a.Left)}
 	e := h.chooseEngine(j)
-	if e == nil {
+	if e.engine == nil {
 		h.refuse(j, ReasonNoServer, retryNoServer)
 		return
 	}
@@ -234,12 +234,12 @@
 		return false
 	}
 	var chain time.Duration
-	for i, f := range j.stages {
+	for _, f := range j.stages {
 		if f != s && f.left > 0 {
-			chain = max(chain, h.path(j, i))
+			chain = max(chain, h.path(j, f))
 		}
 	}
-	return chain > h.path(j, s.index)+startAhead
+	return chain > h.path(j, s)+startAhead
 }
 
 // start queues all pieces of a stage.
@@ -247,7 +247,7 @@
 	s.started = true
 	q := h.pool(s.ask.Service)
 	for n := range s.ask.Pieces {
-		p := &piece{job: j, stage: s, segment: n, queued: h.Now()}
+		p := &piece{job: j, stage: s, index: n, queued: h.Now()}
 		s.pieces = append(s.pieces, p)
 		if h.First != nil && j.remakes == 0 {
 			h.First(s.ask.Service)
@@ -309,13 +309,14 @@
 		return
 	}
 	e := h.chooseEngine(j)
-	if e == nil {
+	if e.engine == nil {
 		h.refuse(j, ReasonNoServer, retryNoServer)
 		return
 	}
-	j.granted = e
+	j.granted = e.engine
 	h.work.Answers = append(h.work.Answers, Answer{
-		ID: j.ask.ID, Try: j.ask.Try, Server: *e.server, Inputs: j.leaves(), Fetch: h.fetch(j, e), Waited: h.Now().Sub(j.arrived), Running: e.running,
+		ID: j.ask.ID, Try: j.ask.Try, Server: *e.server, Inputs: j.leaves(), Fetch: h.fetch(j, e.engine), Waited: h.Now().Sub(j.arrived),
+		Running: e.running, Candidates: e.candidates, Load: e.load(), Mean: e.mean,
 	})
 	e.take(h.Now(), j.ask.Tokens)
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -58,9 +58,12 @@
 	Inputs []string // handles for the model server
 	Fetch  string   // address of a model server that has more of the prompt, or empty
 	Reason string   // of a refusal
-	// Waited is the time from the ask, and Running the other requests at the server.
-	Waited  time.Duration
-	Running int
+	// What decided, for the log of the home; nodes are not told Candidates, Load and Mean.
+	Waited     time.Duration // from the ask
+	Running    int           // other requests at the server
+	Candidates int           // usable servers
+	Load       float64       // of the server
+	Mean       float64       // load of the candidates
 	// RetryAfter is the time after which a refused request is worth sending again.
 	RetryAfter time.Duration
 }
@@ -73,7 +76,6 @@
 	ReasonLate     = "the stages would end after the time limit"
 	ReasonBusy     = "the goal would be missed here"
 	ReasonNoServer = "no usable server"
-	ReasonWithdraw = "withdrawn"
 	ReasonFailed   = "a stage failed repeatedly"
 )
 
@@ -81,7 +83,7 @@
 type Piece struct {
 	Request string
 	Stage   int
-	Segment int
+	Index   int      // of the piece in its stage
 	Key     string   // for stages that need no results
 	Inputs  []string // handles, for the others
 	Left    time.Duration
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -35,7 +35,7 @@
 		"rank": {Name: "rank", Pieces: &relay.PieceWork{
 			Calls: 1, Batch: 16, CallTime: 200 * time.Millisecond, PieceTime: 10 * time.Millisecond, RoomBytes: 12 * mega, Keep: 4 * time.Second,
 		}},
-		"model": {Name: "model", ColdRate: 10, Engine: &relay.Engine{Slots: 8}},
+		"model": {Name: "model", ColdRate: 10, Model: true},
 	}}
 	for _, d := range []string{"a", "b"} {
 		for _, s := range []string{"encode", "rank", "model"} {
@@ -411,6 +411,35 @@
 	}
 }
 
+// A server that starts anew under its id holds nothing of before: its results are made
+// again in the room that they took, and it has read no prompts.
+func TestStartsAnewUnderItsID(t *testing.T) {
+	b := newBench(t)
+	b.only("encode-a", "rank-a", "model-a")
+	anew := func(n int) {
+		s := *b.servers[n]
+		s.Born++
+		b.servers[n] = &s
+	}
+	parts := []Part{{Hash: 7, Tokens: 500}, {Hash: 9, Tokens: 900}}
+	b.ask("1", 2, mega, func(a *Ask) {
+		a.Parts = parts
+		a.Stages = append(a.Stages, StageAsk{Service: "rank", After: []int{0}, ResultBytes: 1000, Pieces: 1})
+	})
+	b.done()
+	b.want("calls after the first stage", len(b.calls), 1)
+	anew(0)
+	b.pass(25 * time.Millisecond)
+	b.want("calls after its server started anew", len(b.calls), 2)
+	b.want("bytes reserved there", b.home.pools["encode"].workers["encode-a"].reserved, int64(2*mega))
+	b.home.prompts.read(parts, "model-a", b.now)
+	anew(2)
+	b.ask("2", 0, 0, nil)
+	if l := b.home.prompts.parts[9]; len(l) != 0 {
+		t.Errorf("got %+v for a prompt that no process has read", l)
+	}
+}
+
 // A report on an earlier try that arrives after the next ask does not end that one.
 func TestLateReport(t *testing.T) {
 	b := newBench(t)
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -156,6 +156,9 @@
 			q.workers[s.ID] = m
 			h.look(m)
 		}
+		if m.server.Born != s.Born {
+			m = h.lose(q, m)
+		}
 		m.server = s
 		if s.Region == h.Region {
 			near = append(near, m)
@@ -306,7 +309,7 @@
 
 func (p *piece) item(now time.Time) Piece {
 	i := Piece{
-		Request: p.job.ask.ID, Stage: p.stage.index, Segment: p.segment, Left: p.job.limit.Sub(now),
+		Request: p.job.ask.ID, Stage: p.stage.index, Index: p.index, Left: p.job.limit.Sub(now),
 	}
 	if len(p.stage.ask.After) == 0 {
 		i.Key = p.job.ask.Key
--- a/core/place/prompt.go
+++ b/core/place/prompt.go
@@ -3,7 +3,10 @@
 // This file defines what the home knows of the prompt parts that model servers keep, so
 // that a server can fetch a part from another instead of reading it again.
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// keptFor is how long a part is taken to be kept after its last use.
@@ -41,6 +44,16 @@
 	}
 }
 
+// forget notes that a server keeps nothing.
+func (p *prompts) forget(server string) {
+	for h, l := range p.parts {
+		l = slices.DeleteFunc(l, func(k kept) bool { return k.server == server })
+		if p.parts[h] = l; len(l) == 0 {
+			delete(p.parts, h)
+		}
+	}
+}
+
 // source returns the server that keeps most of a prompt beyond what another one keeps,
 // or an empty text if that is not worth a fetch. Usable tells which servers there are.
 func (p *prompts) source(parts []Part, server string, now time.Time, usable func(id string) bool) string {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -56,16 +56,10 @@
 	MaxConnections int
 	// ColdRate is the number of requests a second that a cold server bears, 0: any.
 	ColdRate float64
-	Engine   *Engine    // set for model servers
+	Model    bool       // its servers run models
 	Pieces   *PieceWork // set for servers of stages
 }
 
-// Engine describes the model servers of a service.
-type Engine struct {
-	Slots  int // requests in one batch
-	Memory int // tokens that running requests and cached prompt parts share
-}
-
 // PieceWork describes the servers of a stage's service. All values are for one server.
 type PieceWork struct {
 	Calls     int           // in progress at the same time
@@ -84,21 +78,13 @@
 	Regions []string // the only ones that may serve it; empty: all
 }
 
-// Limits bound what a caller may send.
-type Limits struct {
-	BodyBytes     int64
-	HeaderBytes   int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Configuration is one version of what operators say. It is not changed after it
 // was made.
 type Configuration struct {
 	Version  int64
 	Routes   []Route
 	Services map[string]*Service
-	Limits   Limits
+	MaxBody  int64 // most bytes of a request's body
 	// Keys maps each key to its organisation. Nil: requests carry no keys.
 	Keys map[string]*Organisation
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -38,10 +38,10 @@
 	memoryShare = 0.7
 	// sweepEvery is how often idle connections to servers are looked through.
 	sweepEvery = 500 * time.Millisecond
-	// idleCallers is how long a caller's connection may be idle; callers are told by
-	// the configuration of the platform, which allows less.
+	// idleCallers is how long a caller's connection may be idle. This and the next two are
+	// wider than what the operator allows callers, so that none of those is cut.
 	idleCallers = 2 * time.Minute
-	// headerTimeout bounds the reading of a request's head.
+	// headerTimeout bounds the reading of a request's head, and maxHeader its bytes.
 	headerTimeout = 10 * time.Second
 	maxHeader     = 64 << 10
 )
@@ -67,6 +67,7 @@
 	placing  placing
 	mesh     atomic.Pointer[peer.Mesh]
 	self     roster.Node
+	homeNow  roster.Node // as last logged; of members only
 	stopping atomic.Bool
 	requests repeats // of requests that this node sends to servers
 	crashes  suspect.Counter
@@ -139,7 +140,7 @@
 	n.requests = repeats{settings: s, share: n.nodeShare}
 	n.pieces = repeats{settings: s, share: n.homeShare}
 	n.home.pool, n.home.log = &n.pool, n.Log
-	n.home.place = place.Home{Now: time.Now, View: n.stock.View, Region: s.Region, First: n.pieces.first, Repeat: n.pieces.repeat}
+	n.home.place = place.Home{Now: time.Now, View: n.stock.View, Region: s.Region, First: n.pieces.first, Repeat: n.repeatPiece}
 	n.beliefs = beliefs{settings: s, store: &n.store, stock: &n.stock, roster: &n.roster, log: n.Log, peers: n.mesh.Load}
 	n.beliefs.init()
 	n.placing = placing{self: s.Peer, region: s.Region, roster: &n.roster, mesh: n.mesh.Load, home: &n.home, log: n.Log}
--- /dev/null
+++ b/io/edge/explain/story.go
@@ -0,0 +1,219 @@
+package explain
+
+// This file defines the story of a request: its lines, how the stages stood that it waited
+// for, and a verdict in words.
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Stage says how the servers of one stage stood at the home while a request waited.
+type Stage struct {
+	Service     string
+	Calls       int
+	Failed      int // calls that were rejected, cut off or not begun
+	Pieces      int
+	Made        int
+	NoRoom      int
+	MostWaiting int // pieces behind a call
+}
+
+// Story is what became of a request, and why.
+type Story struct {
+	Request string
+	Verdict string
+	Lines   []Line
+	Near    []Line // about its nodes and servers
+	Stages  []Stage
+}
+
+// Tell tells the story of a request from the lines of all nodes.
+func Tell(l []Line, request string) (*Story, error) {
+	own, near, err := Find(l, request)
+	if err != nil {
+		return nil, err
+	}
+	s := &Story{Request: request, Lines: own}
+	stages := map[string]*Stage{}
+	for _, x := range near {
+		if x.Event != "stage_call" {
+			s.Near = append(s.Near, x)
+			continue
+		}
+		n := x.text("service")
+		if stages[n] == nil {
+			stages[n] = &Stage{Service: n}
+		}
+		stages[n].add(&x)
+	}
+	for _, n := range slices.Sorted(maps.Keys(stages)) {
+		s.Stages = append(s.Stages, *stages[n])
+	}
+	s.Verdict = s.verdict()
+	return s, nil
+}
+
+func (s *Stage) add(l *Line) {
+	s.Calls++
+	if l.number("end") != 0 {
+		s.Failed++
+	}
+	s.Pieces += int(l.number("pieces"))
+	s.Made += int(l.number("made"))
+	s.NoRoom += int(l.number("no_room"))
+	s.MostWaiting = max(s.MostWaiting, int(l.number("waiting")))
+}
+
+// last returns the last line with an event, or nil.
+func (s *Story) last(event string) *Line {
+	for i := range slices.Backward(s.Lines) {
+		if s.Lines[i].Event == event {
+			return &s.Lines[i]
+		}
+	}
+	return nil
+}
+
+// verdict says in words how the request ended and why.
+func (s *Story) verdict() string {
+	for _, e := range []struct {
+		event string
+		tell  func(*Line) string
+	}{
+		{"refused", s.refused}, {"unknown", s.unknown}, {"broken_off", s.brokenOff}, {"caller_left", s.callerLeft}, {"answered", answered}, {"streamed", streamed},
+	} {
+		if l := s.last(e.event); l != nil {
+			return e.tell(l)
+		}
+	}
+	return "No line tells how it ended: the node that took it was killed, or its lines are missing."
+}
+
+func answered(l *Line) string {
+	return fmt.Sprintf("Answered by %s with status %s after %v.", l.text("server"), l.text("status"), l.span("after"))
+}
+
+func streamed(l *Line) string {
+	return fmt.Sprintf("Streamed whole by %s, %s events, the first after %v.", l.text("server"), l.text("events"), l.span("first_event"))
+}
+
+// refused tells of a request that no server ran.
+func (s *Story) refused(l *Line) string {
+	v := fmt.Sprintf("Refused by %s after %v: %s. No server ran it.", l.Node, l.span("after"), l.text("reason"))
+	if p := s.last("place_refused"); p != nil {
+		v += fmt.Sprintf(" The home %s had kept it for %v.", p.Node, p.span("waited"))
+		if w := s.shortest(); w != nil {
+			v += fmt.Sprintf(" Most pieces waited for %s: %d behind one call; of %d pieces %d were made, %d found no room, and %d of %d calls failed.",
+				w.Service, w.MostWaiting, w.Pieces, w.Made, w.NoRoom, w.Failed, w.Calls)
+		}
+	}
+	if n := s.count("send_failed", "not_run"); n > 0 {
+		v += fmt.Sprintf(" Servers that it was sent to did not run it: %d.", n)
+	}
+	return v
+}
+
+// shortest returns the stage for which most pieces waited, or nil.
+func (s *Story) shortest() *Stage {
+	var w *Stage
+	for i := range s.Stages {
+		if x := &s.Stages[i]; x.MostWaiting > 0 && (w == nil || x.MostWaiting > w.MostWaiting) {
+			w = x
+		}
+	}
+	return w
+}
+
+func (s *Story) count(events ...string) int {
+	n := 0
+	for i := range s.Lines {
+		if slices.Contains(events, s.Lines[i].Event) {
+			n++
+		}
+	}
+	return n
+}
+
+// unknown tells of a request that a server may have run.
+func (s *Story) unknown(l *Line) string {
+	v := fmt.Sprintf("Ended with status %s after %v, which promises nothing: %s.", l.text("status"), l.span("after"), l.text("reason"))
+	return v + s.culprit("send_failed", "stream_broken") + " It may have run there."
+}
+
+// brokenOff tells of an answer that ended early.
+func (s *Story) brokenOff(l *Line) string {
+	return fmt.Sprintf("Broken off by %s after %v: %s.", l.Node, l.span("after"), l.text("reason")) + s.culprit("stream_broken", "send_failed")
+}
+
+func (s *Story) callerLeft(l *Line) string {
+	v := fmt.Sprintf("The caller left after %v.", l.span("after"))
+	if p := s.last("placed"); p != nil {
+		return v + fmt.Sprintf(" It was placed at %s after %v.", p.text("server"), p.span("waited"))
+	}
+	return v
+}
+
+// culprit names the server of the last failure, and what is known of it.
+func (s *Story) culprit(events ...string) string {
+	for i := range slices.Backward(s.Lines) {
+		l := &s.Lines[i]
+		if !slices.Contains(events, l.Event) {
+			continue
+		}
+		v := fmt.Sprintf(" Server %s failed after %v: %s.", l.text("server"), l.span("after"), l.text("error"))
+		for j := range s.Near {
+			if n := &s.Near[j]; n.text("server") == l.text("server") && n.Event != "server_entry_changed" {
+				return v + fmt.Sprintf(" At %s, %s: %s.", n.At.Format(clock), n.Node, n.Event)
+			}
+		}
+		return v
+	}
+	return ""
+}
+
+const clock = "15:04:05.000"
+
+// Write writes the story as text.
+func (s *Story) Write(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "request %s\n%s\n\nits lines:\n", s.Request, s.Verdict)
+	for i := range s.Lines {
+		s.Lines[i].write(&b)
+	}
+	if len(s.Near) > 0 {
+		fmt.Fprintf(&b, "\nits nodes and servers, from %v before to %v after it:\n", around, around)
+	}
+	for i := range s.Near {
+		s.Near[i].write(&b)
+	}
+	if len(s.Stages) > 0 {
+		b.WriteString("\nstages at the nodes that wrote about it:\n")
+	}
+	for _, x := range s.Stages {
+		fmt.Fprintf(&b, "  %s: %d calls, %d failed; %d pieces, %d made, %d without room; at most %d waited\n",
+			x.Service, x.Calls, x.Failed, x.Pieces, x.Made, x.NoRoom, x.MostWaiting)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// spans are the fields that hold seconds.
+var spans = []string{"after", "waited", "retry_after", "took", "first_event", "away"}
+
+func (l *Line) write(b *strings.Builder) {
+	fmt.Fprintf(b, "  %s %s %s", l.At.Format(clock), l.Node, l.Event)
+	for _, k := range slices.Sorted(maps.Keys(l.Fields)) {
+		switch {
+		case k == "request":
+		case slices.Contains(spans, k):
+			fmt.Fprintf(b, " %s=%v", k, l.span(k))
+		default:
+			fmt.Fprintf(b, " %s=%s", k, l.text(k))
+		}
+	}
+	b.WriteByte('\n')
+}
--- a/io/edge/home.go
+++ b/io/edge/home.go
@@ -90,7 +90,8 @@
 	}
 	if h.keep(a.ID) {
 		h.log.Info("placed", zap.String("request", a.ID), zap.String("server", a.Server.ID), zap.String("domain", a.Server.Domain),
-			zap.Duration("waited", a.Waited), zap.Int("inputs", len(a.Inputs)), zap.Int("running", a.Running), zap.String("fetch", a.Fetch))
+			zap.Duration("waited", a.Waited), zap.Int("inputs", len(a.Inputs)), zap.Int("running", a.Running), zap.String("fetch", a.Fetch),
+			zap.Int("candidates", a.Candidates), zap.Float64("load", a.Load), zap.Float64("mean_load", a.Mean))
 	}
 }
 
--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -35,9 +35,23 @@
 			n.probe(ctx, x)
 		}
 		n.removeLost(ctx, lost)
+		n.noteHome()
 	})
 }
 
+// noteHome logs which node this one takes for the home of its region, when that changes.
+func (n *Node) noteHome() {
+	home := n.self
+	if l := n.roster.Homes(n.self.Region); len(l) > 0 {
+		home = l[0]
+	}
+	if home.Peer == n.homeNow.Peer && home.Incarnation == n.homeNow.Incarnation {
+		return
+	}
+	n.homeNow = home
+	n.Log.Info("home_changed", zap.String("home", home.Name), zap.String("peer", home.Peer), zap.Bool("self", home.Peer == n.self.Peer), zap.Uint64("order", home.Order))
+}
+
 // registered reports whether the row of this incarnation is known.
 func (n *Node) registered() bool {
 	_, ok := n.row()
--- a/io/edge/shares.go
+++ b/io/edge/shares.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bergamotspring/core/budget"
 	"bergamotspring/platform"
 )
@@ -36,8 +38,9 @@
 	r.budget(service).First(time.Now())
 }
 
-// repeat takes the right to send something to a service a second time.
-func (r *repeats) repeat(service string) bool {
+// repeat takes the right to send something to a service a second time, and tells how often
+// that is left.
+func (r *repeats) repeat(service string) (left int, ok bool) {
 	share := r.share()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -71,6 +74,15 @@
 	return max(leastConnections, int(float64(most)*n.nodeShare()))
 }
 
+// repeatPiece takes the right of this home to make a piece again.
+func (n *Node) repeatPiece(service string) bool {
+	_, ok := n.pieces.repeat(service)
+	if !ok {
+		n.Log.Info("piece_repeat_denied", zap.String("service", service))
+	}
+	return ok
+}
+
 // homeShare is the part that the home of one region may use for pieces. An old and a new
 // home of a region may both be at work for a while.
 func (n *Node) homeShare() float64 { return 1 / float64(2*max(1, len(n.roster.Regions()))) }
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -34,8 +34,6 @@
 	// Echo names a header that the server repeats in its answer; an answer with
 	// another value belongs to another request. Empty: not checked.
 	Echo string
-	// NoReuse asks for a new connection that is closed afterwards.
-	NoReuse bool
 }
 
 // Response is the head of an answer. Body ends with io.EOF only if it is complete.
@@ -94,7 +92,7 @@
 		c.close()
 		return nil, &BrokenError{Cause: err}
 	}
-	b := &body{ReadCloser: a.Body, conn: c, stop: stop, keep: !a.Close && !r.NoReuse && keptAlive(a)}
+	b := &body{ReadCloser: a.Body, conn: c, stop: stop, keep: !a.Close && keptAlive(a)}
 	if a.ContentLength == 0 || a.Body == http.NoBody {
 		b.end(nil)
 	}
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -52,7 +52,7 @@
 // get returns a connection for a request. The newest idle one is taken, so that the
 // others time out.
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
-	for !r.NoReuse {
+	for {
 		c := p.take(r.Address)
 		if c == nil {
 			break
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -66,8 +66,8 @@
 			runs++
 			q.mayRun = true
 		}
-		if !q.again(a, n, runs) {
-			q.finish(a)
+		if !q.again(a, t, n, runs) {
+			q.finish(a, t)
 			return
 		}
 		a.close()
@@ -75,7 +75,7 @@
 }
 
 // again decides whether a request goes to another server.
-func (q *request) again(a *attempt, n, runs int) bool {
+func (q *request) again(a *attempt, t *relay.Server, n, runs int) bool {
 	good := a.err == nil && !a.notRun && a.response.Status < http.StatusInternalServerError
 	if good || n+1 >= mostNotRun || q.left() < repeatReserve {
 		return false
@@ -87,7 +87,7 @@
 	if errors.As(a.err, &e) {
 		return true // it did not arrive anywhere
 	}
-	return q.server.Repeat(q.service)
+	return q.repeat(t)
 }
 
 // try sends a request to one server and reads its answer.
@@ -178,7 +178,7 @@
 }
 
 // finish ends a request with its last attempt.
-func (q *request) finish(a *attempt) {
+func (q *request) finish(a *attempt, t *relay.Server) {
 	defer a.close()
 	switch {
 	case a.err != nil:
@@ -186,12 +186,12 @@
 	case a.notRun:
 		q.fail("not run by servers", retryBusy)
 	default:
-		q.pass(a)
+		q.pass(a, t)
 	}
 }
 
 // pass gives a server's answer to the caller unchanged.
-func (q *request) pass(a *attempt) {
+func (q *request) pass(a *attempt, t *relay.Server) {
 	h := q.out.Header()
 	for k, l := range q.server.Protocol.Answer(a.response.Header) {
 		h[k] = l
@@ -211,7 +211,7 @@
 		q.fail(err.Error(), 0)
 	}
 	q.server.RanWell(q.fingerprint())
-	q.end("answered", a.response.Status < http.StatusInternalServerError, 0, zap.Int("status", a.response.Status))
+	q.end("answered", a.response.Status < http.StatusInternalServerError, 0, zap.String("server", t.ID), zap.Int("status", a.response.Status))
 }
 
 // ended ends a request whose time has passed, or whose caller has left.
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -60,7 +60,7 @@
 		if e == runBroken && (!q.route.Resumable || runs >= q.route.Attempts || q.left() <= resumeReserve) {
 			break
 		}
-		if e != runUnsent && !q.server.Repeat(q.service) {
+		if e != runUnsent && !q.repeat(&g.Server) {
 			break
 		}
 		if e != runGone {
@@ -190,7 +190,7 @@
 		return runBroken
 	}
 	q.report(g, place.RunDone)
-	q.pass(a)
+	q.pass(a, &g.Server)
 	return runEnded
 }
 
--- a/io/relay/read.go
+++ b/io/relay/read.go
@@ -41,7 +41,7 @@
 	if !q.match(v, r) {
 		return false
 	}
-	limit := v.Config.Limits.BodyBytes
+	limit := v.Config.MaxBody
 	if limit <= 0 {
 		limit = defaultBody
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -47,12 +47,11 @@
 
 // Protocol translates headers. All fields must be set.
 type Protocol struct {
-	Echo     string // header with the request id, which servers repeat
-	Read     func(http.Header) Meta
-	Write    func(from http.Header, s Send) http.Header
-	NotRun   func(status int, h http.Header) bool
-	Answer   func(from http.Header) http.Header
-	ColdLeft func(http.Header) time.Duration
+	Echo   string // header with the request id, which servers repeat
+	Read   func(http.Header) Meta
+	Write  func(from http.Header, s Send) http.Header
+	NotRun func(status int, h http.Header) bool
+	Answer func(from http.Header) http.Header
 }
 
 // Server answers callers. All fields but Balance must be set.
@@ -68,9 +67,9 @@
 	// it needs no place any more.
 	Ran func(place.Report)
 	// First counts a request for a service, Repeat takes the right to send one to
-	// a second server.
+	// a second server and tells how many more may be.
 	First  func(service string)
-	Repeat func(service string) bool
+	Repeat func(service string) (left int, ok bool)
 	// Condemned reports whether a request must not run, since it crashes servers; Broke
 	// is told that a server broke it off, and RanWell that it ended well.
 	Condemned func(fingerprint uint64) bool
@@ -125,13 +124,24 @@
 		return
 	}
 	s.First(q.service)
-	if v := s.View(); v.Config.Services[q.service] != nil && v.Config.Services[q.service].Engine != nil {
+	if v := s.View(); v.Config.Services[q.service] != nil && v.Config.Services[q.service].Model {
 		q.generate(ctx)
 		return
 	}
 	q.call(ctx)
 }
 
+// repeat takes the right to send the request to another server than t.
+func (q *request) repeat(t *relay.Server) bool {
+	left, ok := q.server.Repeat(q.service)
+	if !ok {
+		q.log("repeat_denied", zap.String("server", t.ID))
+		return false
+	}
+	q.log("repeated", zap.String("server", t.ID), zap.Int("repeats_left", left))
+	return true
+}
+
 func (q *request) organisation() string {
 	if q.org == nil {
 		return ""
