--- a/cmd/bergamotspring/main.go
+++ b/cmd/bergamotspring/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,7 +22,7 @@
 func main() {
 	a := &command.App{
 		Out: os.Stdout, Err: os.Stderr, Version: version,
-		Node: node.Run, Edge: runEdge, Demo: demo.Run, Standins: demo.Serve, Load: demo.SendLoad, Signals: signals, Exit: os.Exit,
+		Node: node.Run, Edge: runEdge, CheckEdge: checkEdge, Demo: demo.Run, Standins: demo.Serve, Load: demo.SendLoad, Signals: signals, Exit: os.Exit,
 	}
 	os.Exit(a.Main(os.Args[1:]))
 }
@@ -34,6 +35,25 @@
 	return err
 }
 
+// checkEdge checks a file of the users' platform.
+func checkEdge(as string, b []byte) (string, []error) {
+	if as == "settings" {
+		s, faults := platform.DecodeSettings(b)
+		if len(faults) > 0 {
+			return "", faults
+		}
+		return fmt.Sprintf("node %s in %s, %d failure domains, %d MB", s.Node, s.Domain, len(s.Domains), s.Memory>>20), nil
+	}
+	c, err := platform.DecodeConfiguration(b)
+	if e, ok := errors.AsType[*platform.ConfigurationError](err); ok {
+		return "", e.Faults
+	}
+	if err != nil {
+		return "", []error{err}
+	}
+	return fmt.Sprintf("version %d, %d routes, %d services, %d keys", c.Version, len(c.Routes), len(c.Services), len(c.Keys)), nil
+}
+
 // signals is called only by commands that drain, so that the others end at once.
 func signals() <-chan os.Signal {
 	s := make(chan os.Signal, 2) // room for the second signal while the first is handled
--- a/io/edge/explain/story.go
+++ b/io/edge/explain/story.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"io"
 	"maps"
 	"slices"
 	"strings"
@@ -140,17 +139,18 @@
 
 // unknown tells of a request that a server may have run.
 func (s *Story) unknown(l *Line) string {
-	v := fmt.Sprintf("Ended with status %s after %v, which promises nothing: %s.", l.text("status"), l.span("after"), l.text("reason"))
-	return v + s.culprit("send_failed", "stream_broken") + " It may have run there."
+	v := fmt.Sprintf("Ended with status %s after %v, which promises nothing: %s. It may have run at server %s.", l.text("status"), l.span("after"), l.text("reason"), l.text("server"))
+	return v + s.culprit("send_failed", "stream_broken")
 }
 
 // brokenOff tells of an answer that ended early.
 func (s *Story) brokenOff(l *Line) string {
-	return fmt.Sprintf("Broken off by %s after %v: %s.", l.Node, l.span("after"), l.text("reason")) + s.culprit("stream_broken", "send_failed")
+	return fmt.Sprintf("Broken off by %s after %v, with %s events: %s. It was at server %s.", l.Node, l.span("after"), l.text("events"), l.text("reason"), l.text("server")) +
+		s.culprit("stream_broken", "send_failed")
 }
 
 func (s *Story) callerLeft(l *Line) string {
-	v := fmt.Sprintf("The caller left after %v.", l.span("after"))
+	v := fmt.Sprintf("The caller left after %v, with %s events.", l.span("after"), l.text("events"))
 	if p := s.last("placed"); p != nil {
 		return v + fmt.Sprintf(" It was placed at %s after %v.", p.text("server"), p.span("waited"))
 	}
@@ -177,8 +177,8 @@
 
 const clock = "15:04:05.000"
 
-// Write writes the story as text.
-func (s *Story) Write(w io.Writer) error {
+// Text returns the story as text.
+func (s *Story) Text() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "request %s\n%s\n\nits lines:\n", s.Request, s.Verdict)
 	for i := range s.Lines {
@@ -197,8 +197,7 @@
 		fmt.Fprintf(&b, "  %s: %d calls, %d failed; %d pieces, %d made, %d without room; at most %d waited\n",
 			x.Service, x.Calls, x.Failed, x.Pieces, x.Made, x.NoRoom, x.MostWaiting)
 	}
-	_, err := io.WriteString(w, b.String())
-	return err
+	return b.String()
 }
 
 // spans are the fields that hold seconds.
--- a/io/edge/logging_test.go
+++ b/io/edge/logging_test.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotspring/io/edge/explain"
 	outside "bergamotspring/platform/standin"
 )
 
@@ -88,22 +89,23 @@
 func TestExplainFromLog(t *testing.T) {
 	type step struct{ event, field, want string }
 	for _, c := range []struct {
-		name  string
-		do    func(*world) reply
-		id    string
-		steps []step
+		name    string
+		do      func(*world) reply
+		id      string
+		verdict []string // parts, without times
+		steps   []step
 	}{
 		{"refused though servers were free", func(w *world) reply {
 			return w.draft("b1", "/draft/x", "q1", "X-Bergamotspring-Deadline-Ms", "300")
-		}, "q1", []step{{"place_refused", "reason", "time limit"}, {"refused", "reason", "time limit"}}},
+		}, "q1", []string{"Refused by b1", ": the stages would end after the time limit. No server ran it. The home a1 had kept it"}, []step{{"place_refused", "reason", "time limit"}, {"refused", "reason", "time limit"}}},
 		{"stream that ended early", func(w *world) reply {
 			w.fault(outside.FaultBreak)
 			return w.draft("b1", "/once/x", "q2")
-		}, "q2", []step{{"placed", "server", "model-"}, {"stream_broken", "error", "EOF"}, {"broken_off", "reason", "model servers"}}},
+		}, "q2", []string{"Broken off by b1", ", with 3 events: model servers failed. It was at server model-b. Server model-b failed", "unexpected EOF"}, []step{{"placed", "server", "model-"}, {"stream_broken", "error", "EOF"}, {"broken_off", "reason", "model servers"}}},
 		{"unsafe request with unknown outcome", func(w *world) reply {
 			w.servers["plain-b"].Next(outside.FaultLose)
 			return w.ask("b1", http.MethodPost, "/file/x", "q3")
-		}, "q3", []step{{"send_failed", "server", "plain-b"}, {"unknown", "reason", "broken off"}}},
+		}, "q3", []string{"Ended with status 502", "which promises nothing: exchange: broken off", "It may have run at server plain-b."}, []step{{"send_failed", "server", "plain-b"}, {"unknown", "reason", "broken off"}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			play(t, func(w *world) {
@@ -124,6 +126,19 @@
 						t.Errorf("line %s: %s is %q, want %q in it", s.event, s.field, got, s.want)
 					}
 				}
+				l, err := explain.Read(strings.NewReader(strings.Join(w.log.with(), "\n")))
+				if err != nil {
+					t.Fatal(err)
+				}
+				story, err := explain.Tell(l, c.id)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, v := range c.verdict {
+					if !strings.Contains(story.Verdict, v) {
+						t.Errorf("got the verdict\n%s\nwant in it\n%s", story.Verdict, v)
+					}
+				}
 			})
 		})
 	}
@@ -173,14 +188,16 @@
 
 func (discard) Write(p []byte) (int, error) { return len(p), nil }
 
-// Every event that a node can log stands on the page for the person on call.
+// Every event and field that a node can log stands on the page for the person on call.
 func TestEventsAreDocumented(t *testing.T) {
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
+	events, fields, _ := strings.Cut(string(page), "\n## Fields\n")
 	event := regexp.MustCompile(`(?:\.(?:Info|Warn|Error)|\.log|\.end)\("([a-z_]+)"`)
-	n := 0
+	field := regexp.MustCompile(`zap\.[A-Z]\w*\("([a-z_]+)"`)
+	n, k := 0, 0
 	for _, dir := range []string{".", "../relay"} {
 		files, err := filepath.Glob(dir + "/*.go")
 		if err != nil {
@@ -196,13 +213,19 @@
 			}
 			for _, m := range event.FindAllStringSubmatch(string(b), -1) {
 				n++
-				if !strings.Contains(string(page), "`"+m[1]+"`") {
+				if !strings.Contains(events, "`"+m[1]+"`") {
 					t.Errorf("%s logs %s, which docs/OPERATIONS.md does not name", f, m[1])
 				}
 			}
+			for _, m := range field.FindAllStringSubmatch(string(b), -1) {
+				k++
+				if !strings.Contains(fields, "`"+m[1]+"`") {
+					t.Errorf("%s logs the field %s, which docs/OPERATIONS.md does not name under Fields", f, m[1])
+				}
+			}
 		}
 	}
-	if n < 30 {
-		t.Errorf("found %d events in the sources, want all of them", n)
+	if n < 30 || k < 60 {
+		t.Errorf("found %d events and %d uses of fields in the sources, want all of them", n, k)
 	}
 }
--- a/io/operator/command/app.go
+++ b/io/operator/command/app.go
@@ -50,17 +50,21 @@
 // App is the program without its surroundings. Out and Err have to be set.
 type App struct {
 	Out, Err io.Writer
+	In       io.Reader // os.Stdin if nil
 	Version  string
 	Node     func(context.Context, setting.Node) error // runs until the context ends, then drains
 	Edge     func(context.Context, EdgeOptions) error  // runs a node on the users' platform, as Node
-	Demo     func(context.Context, io.Writer) error
-	Standins func(context.Context, io.Writer, Standins) error // runs until the context ends
-	Load     func(context.Context, Load) (*Report, error)
-	Signals  func() <-chan os.Signal      // catches SIGINT and SIGTERM from then on; nil: none
-	Exit     func(int)                    // ends the process at once
-	Now      func() time.Time             // time.Now if nil
-	ReadFile func(string) ([]byte, error) // os.ReadFile if nil
-	HTTP     *http.Client                 // for the operator API; made from the flags if nil
+	// CheckEdge checks settings or a configuration of the users' platform, and sums it up or
+	// lists all faults.
+	CheckEdge func(as string, b []byte) (summary string, faults []error)
+	Demo      func(context.Context, io.Writer) error
+	Standins  func(context.Context, io.Writer, Standins) error // runs until the context ends
+	Load      func(context.Context, Load) (*Report, error)
+	Signals   func() <-chan os.Signal      // catches SIGINT and SIGTERM from then on; nil: none
+	Exit      func(int)                    // ends the process at once
+	Now       func() time.Time             // time.Now if nil
+	ReadFile  func(string) ([]byte, error) // os.ReadFile if nil
+	HTTP      *http.Client                 // for the operator API; made from the flags if nil
 
 	json bool
 }
@@ -70,7 +74,7 @@
 
 	Node     nodeCmd     `cmd:"" help:"Run a node."`
 	Edge     edgeCmd     `cmd:"" help:"Run a node on the users' platform."`
-	Check    checkCmd    `cmd:"" help:"Check a declaration and list all its faults."`
+	Check    checkCmd    `cmd:"" help:"Check a declaration, or a file of the users' platform, and list all its faults."`
 	Diff     diffCmd     `cmd:"" help:"Show what a declaration would change, and the capacity after."`
 	Apply    applyCmd    `cmd:"" help:"Put a declaration in force and wait until all reachable nodes have it."`
 	Export   exportCmd   `cmd:"" help:"Print the declaration in force, or an earlier version."`
@@ -212,6 +216,21 @@
 	return b, nil
 }
 
+// open opens a file to read, or standard input for "-". The function ends the reading.
+func (a *App) open(p string) (io.Reader, func(), error) {
+	if p != "-" {
+		f, err := os.Open(p)
+		if err != nil {
+			return nil, nil, &codeError{ExitUsage, err}
+		}
+		return f, func() { _ = f.Close() }, nil // it was only read
+	}
+	if a.In != nil {
+		return a.In, func() {}, nil
+	}
+	return os.Stdin, func() {}, nil
+}
+
 // show prints a result in the form that was asked for.
 func (a *App) show(v any, text func(io.Writer)) error {
 	if !a.json {
--- a/io/operator/command/files.go
+++ b/io/operator/command/files.go
@@ -20,17 +20,22 @@
 }
 
 type checkCmd struct {
-	File string `arg:"" help:"Declaration to check."`
+	File string `arg:"" help:"File to check."`
+	As   string `enum:"declaration,settings,configuration" default:"declaration" help:"What it is: a declaration, or the settings of a node or the configuration on the users' platform."`
 }
 
 // Help is shown by --help.
 func (checkCmd) Help() string {
 	return `Prints every fault with file, line, column, path and cause, and exits with 3. A declaration without faults is
-summed up, with the exceptions that are old or change nothing. Needs no node.`
+summed up, with the exceptions that are old or change nothing. Of settings and a configuration of the users' platform
+all faults are listed; wrong settings exit with 2. Needs no node.`
 }
 
 // Run checks a file.
 func (c *checkCmd) Run(a *App) error {
+	if c.As != "declaration" {
+		return c.platform(a)
+	}
 	d, err := a.load(c.File)
 	var e *schema.Error
 	if errors.As(err, &e) {
@@ -55,6 +60,35 @@
 	})
 }
 
+// platform checks a file of the users' platform.
+func (c *checkCmd) platform(a *App) error {
+	b, err := a.readFile(c.File)
+	if err != nil {
+		return err
+	}
+	if a.CheckEdge == nil {
+		return errors.New("this build knows no platform")
+	}
+	code := ExitInvalid
+	if c.As == "settings" {
+		code = ExitUsage
+	}
+	sum, faults := a.CheckEdge(c.As, b)
+	if len(faults) == 0 {
+		return a.show(map[string]any{"valid": true, "summary": sum}, func(w io.Writer) { fprintf(w, "%s: valid: %s\n", c.File, sum) })
+	}
+	l := make([]string, len(faults))
+	for i, f := range faults {
+		l[i] = f.Error()
+	}
+	_ = a.show(map[string]any{"valid": false, "faults": l}, func(w io.Writer) { // as fprintln
+		for _, f := range l {
+			fprintf(w, "%s: %s\n", c.File, f)
+		}
+	})
+	return &codeError{code, fmt.Errorf("%s: %d faults", c.File, len(l))}
+}
+
 type diffCmd struct {
 	target
 	Old      string `arg:"" help:"Declaration to compare; with one argument, the new one."`
--- a/io/operator/command/show.go
+++ b/io/operator/command/show.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bergamotspring/core/fleet"
+	"bergamotspring/io/edge/explain"
 	"bergamotspring/io/operator"
 )
 
@@ -153,16 +154,21 @@
 type explainCmd struct {
 	target
 	Request string `arg:"" help:"Request id, as in the answer's X-Request-Id or the log."`
+	Log     string `placeholder:"FILE" help:"Log lines of all nodes on the users' platform to tell it from, -: standard input."`
 }
 
 // Help is shown by --help.
 func (explainCmd) Help() string {
 	return `A node remembers the requests that it ran itself. Where the node that is asked did not run it, all nodes that it
-knows are asked in turn.`
+knows are asked in turn. Nodes on the users' platform remember nothing: their log lines tell it, with --log, without
+asking any node. What stands before the JSON object of a line is skipped, and so are lines without one.`
 }
 
 // Run prints the route of a request.
 func (c *explainCmd) Run(a *App) error {
+	if c.Log != "" {
+		return c.tell(a)
+	}
 	n, err := c.client(a)
 	if err != nil {
 		return err
@@ -174,6 +180,45 @@
 	return a.show(operator.ToStory(s), func(w io.Writer) { storyText(w, s) })
 }
 
+// tell prints the story of a request from log lines.
+func (c *explainCmd) tell(a *App) error {
+	in, done, err := a.open(c.Log)
+	if err != nil {
+		return err
+	}
+	defer done()
+	l, err := explain.Read(in)
+	if err != nil {
+		return err
+	}
+	s, err := explain.Tell(l, c.Request)
+	if _, ok := errors.AsType[*explain.NotFoundError](err); ok {
+		return &codeError{ExitNotFound, err}
+	}
+	if err != nil {
+		return &codeError{ExitUsage, err}
+	}
+	return a.show(told(s), func(w io.Writer) { fprintf(w, "%s", s.Text()) })
+}
+
+// told returns the JSON form of a story told from log lines.
+func told(s *explain.Story) map[string]any {
+	lines := func(l []explain.Line) []map[string]any {
+		v := make([]map[string]any, 0, len(l))
+		for i := range l {
+			v = append(v, map[string]any{"at": l[i].At, "node": l[i].Node, "event": l[i].Event, "fields": l[i].Fields})
+		}
+		return v
+	}
+	stages := make([]map[string]any, 0, len(s.Stages))
+	for _, x := range s.Stages {
+		stages = append(stages, map[string]any{
+			"service": x.Service, "calls": x.Calls, "failed": x.Failed, "pieces": x.Pieces, "made": x.Made, "no_room": x.NoRoom, "most_waiting": x.MostWaiting,
+		})
+	}
+	return map[string]any{"request": s.Request, "verdict": s.Verdict, "lines": lines(s.Lines), "near": lines(s.Near), "stages": stages}
+}
+
 func (c *explainCmd) find(n *operator.Client) (operator.Story, error) {
 	ctx := context.Background()
 	s, err := n.Explain(ctx, c.Request)
--- a/io/relay/call.go
+++ b/io/relay/call.go
@@ -145,10 +145,12 @@
 	if err != nil {
 		if !errors.As(err, &u) {
 			q.sends++
+			q.sentTo = t.ID
 		}
 		return &attempt{err: err, notRun: u != nil}
 	}
 	q.sends++
+	q.sentTo = t.ID
 	return &attempt{response: r, notRun: s.Protocol.NotRun(r.Status, r.Header)}
 }
 
@@ -221,6 +223,6 @@
 		q.fail("time limit", retryBusy)
 		return
 	}
-	q.end("caller_left", false, 0)
+	q.end("caller_left", false, 0, q.progress()...)
 	panic(http.ErrAbortHandler)
 }
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -201,20 +201,20 @@
 		q.report(g, place.RunDone)
 		q.server.RanWell(q.fingerprint())
 		first := max(1, out.first.Sub(q.arrived))
-		q.end("streamed", true, first, zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Duration("first_event", first))
+		q.end("streamed", true, first, zap.String("server", g.Server.ID), zap.Int("events", q.events), zap.Duration("first_event", first))
 		return runEnded
 	}
 	var w *callerError
 	if errors.As(err, &w) || ctx.Err() != nil {
 		q.report(g, place.RunLeft)
 		if ctx.Err() == nil {
-			q.end("caller_left", false, 0)
+			q.end("caller_left", false, 0, q.progress()...)
 			panic(http.ErrAbortHandler)
 		}
 		return runBroken
 	}
 	q.report(g, place.RunBroken)
 	q.broke(a, &g.Server)
-	q.log("stream_broken", zap.String("server", g.Server.ID), zap.Int("events", out.events), zap.Error(err))
+	q.log("stream_broken", zap.String("server", g.Server.ID), zap.Int("events", q.events), zap.Error(err))
 	return runBroken
 }
--- a/io/relay/read.go
+++ b/io/relay/read.go
@@ -96,11 +96,16 @@
 	http.Error(w, "not run, come back later", http.StatusServiceUnavailable)
 }
 
+// progress tells how far a request came that has no whole answer.
+func (q *request) progress() []zap.Field {
+	return []zap.Field{zap.String("server", q.sentTo), zap.Int("events", q.events)}
+}
+
 // fail ends a request without an answer of a server: as not run if that is certain,
 // and otherwise without a promise.
 func (q *request) fail(reason string, after time.Duration) {
 	if q.started {
-		q.end("broken_off", false, 0, zap.String("reason", reason))
+		q.end("broken_off", false, 0, append(q.progress(), zap.String("reason", reason))...)
 		panic(http.ErrAbortHandler)
 	}
 	if !q.mayRun {
@@ -112,6 +117,6 @@
 	if q.left() <= 0 {
 		status = http.StatusGatewayTimeout
 	}
-	q.end("unknown", false, 0, zap.String("reason", reason), zap.Int("status", status))
+	q.end("unknown", false, 0, append(q.progress(), zap.String("reason", reason), zap.Int("status", status))...)
 	http.Error(q.out, "outcome unknown", status)
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -102,10 +102,12 @@
 	limit   time.Time // final answer due
 	out     http.ResponseWriter
 
-	asked   int  // asks for a place before the present one
-	sends   int  // that a server can have read
-	mayRun  bool // a server may have run it
-	started bool // the head of the answer was written
+	asked   int    // asks for a place before the present one
+	sends   int    // that a server can have read
+	sentTo  string // server of the last of these
+	events  int    // that the caller got
+	mayRun  bool   // a server may have run it
+	started bool   // the head of the answer was written
 }
 
 // ServeHTTP serves one request.
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -31,7 +31,6 @@
 type stream struct {
 	request *request
 	last    string // id of the last event that the caller has
-	events  int
 	first   time.Time
 	buffer  []byte
 	stall   *time.Timer // leaves a silent server; nil: it is waited for
@@ -103,7 +102,7 @@
 
 // note counts events and keeps the id of the last one.
 func (s *stream) note(b []byte) {
-	s.events += bytes.Count(b, []byte("\n\n"))
+	s.request.events += bytes.Count(b, []byte("\n\n"))
 	for line := range bytes.Lines(b) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			s.last = string(bytes.TrimSpace(id))
