Serve first what is starved

The home now counts, over about ten seconds, what is served of each route, organisation and group of prompts, and requests of those that get less than half of what all get go before all ranks.

--- a/core/place/estimate.go
+++ b/core/place/estimate.go
@@ -57,7 +57,7 @@
 	n := max(1, len(h.workers(q)))
 	before := 0
 	for _, p := range q.waiting {
-		if p.job.ask.Rank <= rank {
+		if p.job.rank <= rank {
 			before++
 		}
 	}
@@ -95,7 +95,7 @@
 // queued returns the cost of whole stages of a job with the waits for their services.
 func (h *Home) queued(j *job) func(*jobStage) time.Duration {
 	return func(s *jobStage) time.Duration {
-		return h.wait(s.ask.Service, j.ask.Rank) + h.callTime(s.ask.Service, s.ask.Pieces)
+		return h.wait(s.ask.Service, j.rank) + h.callTime(s.ask.Service, s.ask.Pieces)
 	}
 }
 
@@ -109,7 +109,7 @@
 func (h *Home) backlog(j *job) time.Duration {
 	d := retryMin
 	for i := range j.ask.Stages {
-		d = max(d, h.wait(j.ask.Stages[i].Service, j.ask.Rank))
+		d = max(d, h.wait(j.ask.Stages[i].Service, j.rank))
 	}
 	return min(d, retryMax)
 }
@@ -127,7 +127,7 @@
 // half of what waits for its services goes behind it.
 func (h *Home) missesLimit(j *job, now time.Time) bool {
 	d := j.through(j.ready, func(s *jobStage) time.Duration {
-		w := h.wait(s.ask.Service, j.ask.Rank)
+		w := h.wait(s.ask.Service, j.rank)
 		if j.ready(s) {
 			w /= 2
 		}
@@ -160,7 +160,7 @@
 func (h *Home) order(p *piece, now time.Time) order {
 	j := p.job
 	need := h.callTime(p.stage.ask.Service, len(p.stage.pieces)) + j.following(p.stage, h.left) + j.model()
-	o := order{rank: j.ask.Rank, slack: j.goal.Sub(now) - need}
+	o := order{rank: j.rank, slack: j.goal.Sub(now) - need}
 	if o.slack < 0 {
 		o.late = 1
 		o.slack = j.limit.Sub(now)
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -46,6 +46,7 @@
 	frees   map[uint64]*freeing
 	looks   map[uint64]*worker
 	prompts prompts
+	fair    fair
 	number  uint64
 	work    Work
 }
@@ -59,6 +60,8 @@
 	stages  []*jobStage
 	domain  string // of the model server it is meant for
 	remakes int
+	rank    int     // the ask's, or a more urgent one if its owners are starved
+	counted bool    // as served
 	granted *engine // set once granted
 }
 
@@ -98,7 +101,10 @@
 		return
 	}
 	h.forget(a.ID)
-	j := &job{ask: a, arrived: now, goal: now.Add(a.Goal), limit: now.Add(a.Left)}
+	j := &job{ask: a, arrived: now, goal: now.Add(a.Goal), limit: now.Add(a.Left), rank: a.Rank}
+	if h.fair.starved(a.owners()) {
+		j.rank = starvedRank
+	}
 	e := h.chooseEngine(j)
 	if e.engine == nil {
 		h.refuse(j, ReasonNoServer, retryNoServer)
@@ -159,6 +165,9 @@
 func (h *Home) Withdraw(id string, try int) {
 	h.init()
 	if j := h.jobs[id]; j != nil && j.ask.Try <= try {
+		if j.granted == nil {
+			h.fair.count(j.ask.owners(), false)
+		}
 		h.forget(id)
 	}
 	h.dispatch()
@@ -196,6 +205,9 @@
 
 // refuse answers an ask that gets no place.
 func (h *Home) refuse(j *job, reason string, after time.Duration) {
+	if reason == ReasonLate || reason == ReasonFailed {
+		h.fair.count(j.ask.owners(), false)
+	}
 	h.work.Answers = append(h.work.Answers, Answer{ID: j.ask.ID, Try: j.ask.Try, Reason: reason, RetryAfter: after, Waited: h.Now().Sub(j.arrived)})
 	h.forget(j.ask.ID)
 }
@@ -314,6 +326,10 @@
 		return
 	}
 	j.granted = e.engine
+	if !j.counted {
+		j.counted = true
+		h.fair.count(j.ask.owners(), true)
+	}
 	h.work.Answers = append(h.work.Answers, Answer{
 		ID: j.ask.ID, Try: j.ask.Try, Server: *e.server, Inputs: j.leaves(), Fetch: h.fetch(j, e.engine), Waited: h.Now().Sub(j.arrived),
 		Running: e.running, Candidates: e.candidates, Load: e.load(), Mean: e.mean,
@@ -363,5 +379,6 @@
 	}
 	h.prune()
 	h.prompts.prune(now)
+	h.fair.decay(now)
 	h.dispatch()
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -23,10 +23,13 @@
 	Parts   []Part // of the prompt that other requests share, in order
 	Tokens  int    // prompt and answer
 	Rank    int    // 0 is the most urgent
-	Goal    time.Duration
-	Left    time.Duration
-	Regions []string // the only ones that may serve it; empty: all
-	Avoid   []string // ids of servers that do not take it
+	// Route and Organisation are whose service is compared, so that nobody is starved.
+	Route        string
+	Organisation string
+	Goal         time.Duration
+	Left         time.Duration
+	Regions      []string // the only ones that may serve it; empty: all
+	Avoid        []string // ids of servers that do not take it
 	// Elsewhere says that another region can be asked, so that a request which is
 	// expected to miss its goal is refused.
 	Elsewhere bool
--- a/io/peer/place.go
+++ b/io/peer/place.go
@@ -102,6 +102,7 @@
 	return &wire.PlaceAsk{
 		Id: a.ID, Try: a.Try, Service: a.Service, Key: a.Key, Tokens: a.Tokens, Rank: a.Rank,
 		Goal: micros(a.Goal), Left: micros(a.Left), Regions: a.Regions, Avoid: a.Avoid, Again: a.Again, Elsewhere: a.Elsewhere, Gone: a.Gone,
+		Route: a.Route, Organisation: a.Organisation,
 		Parts: each(a.Parts, func(p place.Part) wire.PlacePart {
 			return wire.PlacePart{Hash: int(p.Hash), Tokens: p.Tokens}
 		}),
@@ -115,6 +116,7 @@
 	return place.Ask{
 		ID: w.Id, Try: w.Try, Service: w.Service, Key: w.Key, Tokens: w.Tokens, Rank: w.Rank,
 		Goal: duration(w.Goal), Left: duration(w.Left), Regions: w.Regions, Avoid: w.Avoid, Again: w.Again, Elsewhere: w.Elsewhere, Gone: w.Gone,
+		Route: w.Route, Organisation: w.Organisation,
 		Parts: each(w.Parts, func(p wire.PlacePart) place.Part {
 			return place.Part{Hash: uint64(p.Hash), Tokens: p.Tokens}
 		}),
--- a/io/relay/generate.go
+++ b/io/relay/generate.go
@@ -88,7 +88,7 @@
 func (q *request) ask() place.Ask {
 	a := place.Ask{
 		ID: q.meta.ID, Service: q.service, Key: q.meta.PieceKey, Parts: q.meta.Parts, Tokens: q.meta.Tokens,
-		Rank: relay.Rank(q.route, q.org),
+		Rank: relay.Rank(q.route, q.org), Route: q.route.Name, Organisation: q.organisation(),
 	}
 	a.Regions = allowedRegions(q.route, q.org)
 	for i, s := range q.route.Stages {
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -460,6 +460,9 @@
 	// Time left in microseconds.
 	Left int `msgpack:"left"`
 
+	// Whose service is compared, with that of the route, so that nobody is starved.
+	Organisation string `msgpack:"organisation"`
+
 	// Parts of the prompt that other requests share, in order.
 	Parts []PlacePart `msgpack:"parts"`
 
@@ -469,6 +472,9 @@
 	// The only ones that may serve it; empty: all.
 	Regions []string `msgpack:"regions"`
 
+	// Route corresponds to the JSON schema field "route".
+	Route string `msgpack:"route"`
+
 	// Service of model servers.
 	Service string `msgpack:"service"`
 
