Pass what waits on to the next home at a planned stop, with its results

Ruled out: the burst before it (the queue was as long, 294 and 306 pieces, with and without), and servers (none failed then). Now the home that stops answers each waiting request 'moved' once none of its pieces is in a call; its node asks the next home and hands it the results, which counts their room.

--- a/core/place/call.go
+++ b/core/place/call.go
@@ -80,6 +80,10 @@
 	if r.End == PieceMade {
 		p.handle = r.Handle
 		p.stage.left--
+		if p.job.leaving && !p.job.complete() {
+			h.move(p.job)
+			return
+		}
 		h.advance(p.job)
 		return
 	}
@@ -88,6 +92,10 @@
 	if !alive {
 		return
 	}
+	if p.job.leaving {
+		h.move(p.job)
+		return
+	}
 	switch r.End {
 	case PieceLate:
 		h.refuse(p.job, ReasonLate, h.backlog(p.job))
--- a/core/place/home.go
+++ b/core/place/home.go
@@ -62,6 +62,7 @@
 	remakes int
 	rank    int     // the ask's, or a more urgent one if its owners are starved
 	counted bool    // as served
+	leaving bool    // it moves to the next home once none of its pieces is in a call
 	granted *engine // set once granted
 }
 
@@ -114,6 +115,8 @@
 	for i := range a.Stages {
 		j.stages = append(j.stages, &jobStage{index: i, ask: &j.ask.Stages[i], left: a.Stages[i].Pieces})
 	}
+	h.jobs[a.ID] = j
+	h.adopt(j)
 	if a.Elsewhere && h.need(j) > a.Goal {
 		h.refuse(j, ReasonBusy, 0)
 		return
@@ -122,7 +125,6 @@
 		h.refuse(j, ReasonLate, w)
 		return
 	}
-	h.jobs[a.ID] = j
 	if a.Again {
 		j.remakes = 1
 	}
@@ -214,21 +216,22 @@
 
 // advance queues the stages whose inputs are complete, and grants a job when all are.
 func (h *Home) advance(j *job) {
-	all := true
 	for _, s := range j.stages {
-		if s.left > 0 {
-			all = false
-		}
 		if !s.started && s.left > 0 && j.ready(s) && !h.early(j, s) {
 			h.start(j, s)
 		}
 	}
 	h.releaseInner(j)
-	if all {
+	if j.complete() {
 		h.grant(j)
 	}
 }
 
+// complete reports whether all stages of a job are made.
+func (j *job) complete() bool {
+	return !slices.ContainsFunc(j.stages, func(s *jobStage) bool { return s.left > 0 })
+}
+
 // ready reports whether all results that a stage needs exist.
 func (j *job) ready(s *jobStage) bool {
 	for _, n := range s.ask.After {
@@ -373,7 +376,7 @@
 			h.forget(id)
 		case j.granted == nil && (now.Add(h.least(j)).After(j.limit) || h.missesLimit(j, now)):
 			h.refuse(j, ReasonLate, h.backlog(j))
-		case j.granted == nil:
+		case j.granted == nil && !j.leaving:
 			h.advance(j)
 		}
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -37,6 +37,22 @@
 	// used again, unless Gone says that an input did not exist any more.
 	Again bool
 	Gone  bool
+	// Made is what a home that stopped had made for it.
+	Made []MadeStage
+}
+
+// MadeStage is what a home has made of one stage of a request.
+type MadeStage struct {
+	Stage    int
+	Released bool // all was made, used and freed
+	Pieces   []MadePiece
+}
+
+// MadePiece is a result that exists.
+type MadePiece struct {
+	Index  int
+	Server string // id
+	Handle string
 }
 
 // Part is a part of a prompt that other requests share.
@@ -67,6 +83,7 @@
 	Candidates int           // usable servers
 	Load       float64       // of the server
 	Mean       float64       // load of the candidates
+	Made       []MadeStage   // of a request that moves to the next home
 	// RetryAfter is the time after which a refused request is worth sending again.
 	RetryAfter time.Duration
 }
@@ -74,12 +91,22 @@
 // Granted reports whether the answer is a grant.
 func (a *Answer) Granted() bool { return a.Server.ID != "" }
 
+// Results returns the number of results that move with a request.
+func (a *Answer) Results() int {
+	n := 0
+	for _, m := range a.Made {
+		n += len(m.Pieces)
+	}
+	return n
+}
+
 // Reasons of refusals.
 const (
 	ReasonLate     = "the stages would end after the time limit"
 	ReasonBusy     = "the goal would be missed here"
 	ReasonNoServer = "no usable server"
 	ReasonFailed   = "a stage failed repeatedly"
+	ReasonMoved    = "another node is home now"
 )
 
 // Piece is one item of a call to a server of a stage.
--- a/core/place/room.go
+++ b/core/place/room.go
@@ -34,6 +34,14 @@
 	}
 }
 
+// adopt counts a result of another home as this one's.
+func (m *worker) adopt(bytes int64, now time.Time) {
+	m.reserved += bytes
+	if now.Before(m.othersTo) {
+		m.others = max(0, m.others-bytes)
+	}
+}
+
 // free sends what can be freed, one message to a server at a time.
 func (h *Home) free() {
 	now := h.Now()
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -143,7 +143,7 @@
 	n.home.place = place.Home{Now: time.Now, View: n.stock.View, Region: s.Region, First: n.pieces.first, Repeat: n.repeatPiece}
 	n.beliefs = beliefs{settings: s, store: &n.store, stock: &n.stock, roster: &n.roster, log: n.Log, peers: n.mesh.Load}
 	n.beliefs.init()
-	n.placing = placing{self: s.Peer, region: s.Region, roster: &n.roster, mesh: n.mesh.Load, home: &n.home, log: n.Log}
+	n.placing = placing{self: s.Peer, stopping: n.stopping.Load, region: s.Region, roster: &n.roster, mesh: n.mesh.Load, home: &n.home, log: n.Log}
 }
 
 // Run runs the node until the context ends.
@@ -227,7 +227,7 @@
 		OnHello: func(a string, _ lease.Holder) { n.roster.Clear(a) },
 	}
 	peer.PlaceHandlers{
-		Ask:    n.home.ask,
+		Ask:    n.home.serve,
 		Note:   n.home.note,
 		Crash:  n.told,
 		Mirror: n.beliefs.newer,
--- a/io/edge/faults_test.go
+++ b/io/edge/faults_test.go
@@ -3,6 +3,7 @@
 // This file plays faults of servers and nodes.
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -36,6 +37,47 @@
 	})
 }
 
+// The home stops as planned while it places requests: they wait for no place there any more,
+// and the next home has all the room.
+func TestHomeStops(t *testing.T) {
+	play(t, func(w *world) {
+		var g sync.WaitGroup
+		got := make([]reply, 9)
+		for i := range got {
+			g.Go(func() { got[i] = w.draft([]string{"a1", "a2", "b1"}[i%3], "/draft/x", fmt.Sprint("s", i)) })
+		}
+		time.Sleep(150 * time.Millisecond) // in the first calls
+		w.nodes["a1"].stop()
+		at := time.Now()
+		g.Wait()
+		for i, r := range got {
+			if r.status != 200 || r.body != events(6) {
+				t.Errorf("request %d: got %d %v %q", i, r.status, r.err, r.body)
+			}
+		}
+		if w.results.NoRoom > 0 {
+			t.Errorf("%d pieces found no room", w.results.NoRoom)
+		}
+		moved := w.log.with("home_moved")
+		if len(moved) < 6 {
+			t.Errorf("got %d requests that moved to the next home, want those of the other nodes at least:\n%s", len(moved), strings.Join(moved, "\n"))
+		}
+		calls := 0
+		for _, l := range w.log.with("stage_call", `"node":"a1"`) {
+			var x struct{ At time.Time }
+			if err := json.Unmarshal([]byte(l), &x); err != nil {
+				t.Fatal(err)
+			}
+			if x.At.Sub(at) > 400*time.Millisecond {
+				calls++
+			}
+		}
+		if calls > 0 {
+			t.Errorf("the node that stopped made %d calls long after", calls)
+		}
+	})
+}
+
 // A server of a stage crashes with results: they are made again.
 func TestStageServerCrashes(t *testing.T) {
 	play(t, func(w *world) {
--- a/io/edge/home.go
+++ b/io/edge/home.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex
 	place   place.Home
 	waiting map[asked]func(place.Answer)
+	left    bool // another node is home now
 }
 
 // asked is one ask for a request.
@@ -83,6 +84,10 @@
 // decided logs and counts an answer of the home.
 func (h *home) decided(a *place.Answer) {
 	h.meter.placed(a)
+	if a.Reason == place.ReasonMoved {
+		h.log.Info("place_moved", zap.String("request", a.ID), zap.Duration("waited", a.Waited), zap.Int("made", a.Results()))
+		return
+	}
 	if !a.Granted() {
 		h.log.Info("place_refused", zap.String("request", a.ID), zap.String("reason", a.Reason),
 			zap.Duration("waited", a.Waited), zap.Duration("retry_after", a.RetryAfter))
@@ -107,6 +112,27 @@
 	})
 }
 
+// serve decides on an ask of another node, unless this one has left.
+func (h *home) serve(a place.Ask, answer func(place.Answer)) {
+	h.mu.Lock()
+	left := h.left
+	h.mu.Unlock()
+	if left {
+		answer(place.Answer{ID: a.ID, Try: a.Try, Reason: place.ReasonMoved})
+		return
+	}
+	h.ask(a, answer)
+}
+
+// leave passes what waits for a place to the next home. What was granted stays with this
+// one until it has ended.
+func (h *home) leave() {
+	h.mu.Lock()
+	h.left = true
+	h.mu.Unlock()
+	h.do((*place.Home).Leave)
+}
+
 // note takes a report on a granted request, or a withdrawal if the server is empty.
 func (h *home) note(r place.Report) {
 	h.do(func(p *place.Home) {
--- a/io/edge/placing.go
+++ b/io/edge/placing.go
@@ -24,12 +24,14 @@
 
 // placing asks homes for places. It remembers who placed each request, for the notes.
 type placing struct {
-	self   string // peer address of this node
-	region string
-	roster *roster.Roster
-	mesh   func() *peer.Mesh // nil until the key of the fleet is known
-	home   *home
-	log    *zap.Logger
+	self string // peer address of this node
+	// stopping reports whether this node is home for itself only.
+	stopping func() bool
+	region   string
+	roster   *roster.Roster
+	mesh     func() *peer.Mesh // nil until the key of the fleet is known
+	home     *home
+	log      *zap.Logger
 
 	mu     sync.Mutex
 	placed map[string]string // peer address of the home of each request in progress
@@ -64,24 +66,42 @@
 	return p.placeIn(ctx, own, a)
 }
 
-// placeIn asks for a place at the home of a region, or at its successor.
+// placeIn asks for a place at the home of a region, or at its successor. A home that stops
+// passes on what waits there.
 func (p *placing) placeIn(ctx context.Context, region string, a place.Ask) (place.Answer, error) {
-	var err error
+	start, left, goal := time.Now(), a.Left, a.Goal
+	ask := func(n string) (place.Answer, error) {
+		a.Left, a.Goal = left-time.Since(start), goal-time.Since(start)
+		return p.ask(ctx, n, a)
+	}
 	for _, n := range p.homes(region) {
-		var g place.Answer
-		if g, err = p.ask(ctx, n, a); err == nil || ctx.Err() != nil {
+		g, err := ask(n)
+		if ctx.Err() != nil || err == nil && g.Reason != place.ReasonMoved {
 			return g, err
 		}
 		p.roster.Suspect(n)
-		p.log.Warn("home_silent", zap.String("request", a.ID), zap.String("home", n), zap.Error(err))
+		if err != nil {
+			p.log.Warn("home_silent", zap.String("request", a.ID), zap.String("home", n), zap.Error(err))
+			continue
+		}
+		a.Made, a.Elsewhere = g.Made, false
+		p.log.Info("home_moved", zap.String("request", a.ID), zap.String("home", n), zap.Int("made", g.Results()))
 	}
-	return p.ask(ctx, p.self, a)
+	g, err := ask(p.self)
+	if err == nil && g.Reason == place.ReasonMoved { // this node was home and stops
+		a.Left, a.Goal, a.Made, a.Elsewhere = left-time.Since(start), goal-time.Since(start), g.Made, false
+		return p.placeIn(ctx, region, a)
+	}
+	return g, err
 }
 
 // homes returns the peer addresses of the homes to ask, before this node itself.
 func (p *placing) homes(region string) []string {
 	var l []string
 	for _, n := range p.roster.Homes(region) {
+		if n.Peer == p.self && p.stopping() {
+			continue
+		}
 		if n.Peer == p.self || len(l) == mostHomes {
 			break
 		}
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -30,6 +30,7 @@
 	n.stopping.Store(true)
 	n.Log.Info("stop", zap.Time("limit", limit))
 	n.unregister(work)
+	n.home.leave()
 	sleep(work, stopAccepting)
 	c, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
--- a/io/peer/place.go
+++ b/io/peer/place.go
@@ -102,7 +102,7 @@
 	return &wire.PlaceAsk{
 		Id: a.ID, Try: a.Try, Service: a.Service, Key: a.Key, Tokens: a.Tokens, Rank: a.Rank,
 		Goal: micros(a.Goal), Left: micros(a.Left), Regions: a.Regions, Avoid: a.Avoid, Again: a.Again, Elsewhere: a.Elsewhere, Gone: a.Gone,
-		Route: a.Route, Organisation: a.Organisation,
+		Route: a.Route, Organisation: a.Organisation, Made: each(a.Made, wirePlaceMade),
 		Parts: each(a.Parts, func(p place.Part) wire.PlacePart {
 			return wire.PlacePart{Hash: int(p.Hash), Tokens: p.Tokens}
 		}),
@@ -116,7 +116,7 @@
 	return place.Ask{
 		ID: w.Id, Try: w.Try, Service: w.Service, Key: w.Key, Tokens: w.Tokens, Rank: w.Rank,
 		Goal: duration(w.Goal), Left: duration(w.Left), Regions: w.Regions, Avoid: w.Avoid, Again: w.Again, Elsewhere: w.Elsewhere, Gone: w.Gone,
-		Route: w.Route, Organisation: w.Organisation,
+		Route: w.Route, Organisation: w.Organisation, Made: each(w.Made, placeMadeOf),
 		Parts: each(w.Parts, func(p wire.PlacePart) place.Part {
 			return place.Part{Hash: uint64(p.Hash), Tokens: p.Tokens}
 		}),
@@ -130,14 +130,26 @@
 	s := a.Server
 	return &wire.PlaceAnswer{
 		Id: a.ID, Server: s.ID, Address: s.Address, Domain: s.Domain, Region: s.Region, Service: s.Service,
-		Inputs: a.Inputs, Fetch: a.Fetch, Reason: a.Reason, RetryAfter: micros(a.RetryAfter),
+		Inputs: a.Inputs, Fetch: a.Fetch, Reason: a.Reason, RetryAfter: micros(a.RetryAfter), Made: each(a.Made, wirePlaceMade),
 	}
 }
 
+func wirePlaceMade(m place.MadeStage) wire.PlaceMade {
+	return wire.PlaceMade{Stage: m.Stage, Released: m.Released, Pieces: each(m.Pieces, func(p place.MadePiece) wire.PlaceMadePiece {
+		return wire.PlaceMadePiece{Index: p.Index, Server: p.Server, Handle: p.Handle}
+	})}
+}
+
+func placeMadeOf(w wire.PlaceMade) place.MadeStage {
+	return place.MadeStage{Stage: w.Stage, Released: w.Released, Pieces: each(w.Pieces, func(p wire.PlaceMadePiece) place.MadePiece {
+		return place.MadePiece{Index: p.Index, Server: p.Server, Handle: p.Handle}
+	})}
+}
+
 func placeAnswerOf(w wire.PlaceAnswer) place.Answer {
 	return place.Answer{
 		ID:     w.Id,
 		Server: relay.Server{ID: w.Server, Address: w.Address, Domain: w.Domain, Region: w.Region, Service: w.Service},
-		Inputs: w.Inputs, Fetch: w.Fetch, Reason: w.Reason, RetryAfter: duration(w.RetryAfter),
+		Inputs: w.Inputs, Fetch: w.Fetch, Reason: w.Reason, RetryAfter: duration(w.RetryAfter), Made: each(w.Made, placeMadeOf),
 	}
 }
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -418,6 +418,9 @@
 	// Handles of results.
 	Inputs []string `msgpack:"inputs"`
 
+	// Of a request that moves to the next home.
+	Made []PlaceMade `msgpack:"made"`
+
 	// Reason corresponds to the JSON schema field "reason".
 	Reason string `msgpack:"reason"`
 
@@ -460,6 +463,9 @@
 	// Time left in microseconds.
 	Left int `msgpack:"left"`
 
+	// Made corresponds to the JSON schema field "made".
+	Made []PlaceMade `msgpack:"made"`
+
 	// Whose service is compared, with that of the route, so that nobody is starved.
 	Organisation string `msgpack:"organisation"`
 
@@ -488,6 +494,30 @@
 	Try int `msgpack:"try"`
 }
 
+// What a home that stopped has made of one stage of a request.
+type PlaceMade struct {
+	// Pieces corresponds to the JSON schema field "pieces".
+	Pieces []PlaceMadePiece `msgpack:"pieces"`
+
+	// All was made, used and freed.
+	Released bool `msgpack:"released"`
+
+	// Stage corresponds to the JSON schema field "stage".
+	Stage int `msgpack:"stage"`
+}
+
+// A result that exists.
+type PlaceMadePiece struct {
+	// Handle corresponds to the JSON schema field "handle".
+	Handle string `msgpack:"handle"`
+
+	// Index corresponds to the JSON schema field "index".
+	Index int `msgpack:"index"`
+
+	// Server corresponds to the JSON schema field "server".
+	Server string `msgpack:"server"`
+}
+
 // Tells the home how a granted request goes on, or that nobody waits for an ask.
 type PlaceNote struct {
 	// End corresponds to the JSON schema field "end".
