Take out what nobody asks in core/limit

Home.Stop and HeldReport.Whole (a planned handover of permits, which no node made; homes are handed over by io/node, and the successor asks all nodes what they hold), the retry budget of Home and Ask.Retry (nodes pay for retries by pool before they ask; the word to the home was always false). Out as well: their fields in the messages.

--- a/core/limit/adopt.go
+++ b/core/limit/adopt.go
@@ -16,7 +16,6 @@
 	epoch    uint64
 	started  bool
 	listed   bool // waiting is complete
-	stopped  bool // handed over
 	since    time.Duration
 	waiting  map[string]bool // nodes that have not answered
 	answered map[string]bool
@@ -111,9 +110,6 @@
 		}
 	}
 	h.term.heard(r.Node)
-	if r.Whole > 0 && r.Whole+1 == h.term.epoch {
-		h.term.list(nil)
-	}
 	h.dispatch()
 	return h.leave()
 }
@@ -140,21 +136,6 @@
 	h.hold(p)
 }
 
-// Stop ends the home's grants in this epoch, for a planned handover. Waiting calls
-// come back as RefusedMoved. The report is for the successor; the caller fills in
-// Node. Releases are counted on, but only the successor matters from here on.
-func (h *Home) Stop() ([]Decision, HeldReport) {
-	h.enter()
-	r := h.report()
-	if h.open() {
-		r.Whole = h.term.epoch
-	}
-	h.term.stopped = true
-	h.until = 0
-	h.drain(RefusedMoved)
-	return h.leave(), r
-}
-
 // Held reports the permits that count and the servers' states.
 func (h *Home) Held() HeldReport {
 	h.enter()
--- a/core/limit/dispatch.go
+++ b/core/limit/dispatch.go
@@ -23,12 +23,6 @@
 	if c.ask.Deadline <= 0 || w+h.samples.least(h.now) > c.ask.Deadline {
 		return RefusedDeadline, w
 	}
-	if c.ask.Retry {
-		c.paid = h.budget(c.ask.Node).Take()
-		if !c.paid {
-			return RefusedBudget, w
-		}
-	}
 	return 0, 0
 }
 
@@ -109,19 +103,12 @@
 
 func (h *Home) refuse(c *call, r Refusal, wait time.Duration) {
 	c.unreserve()
-	if c.paid {
-		// Nothing was sent, so the node may retry elsewhere on the same token.
-		h.budget(c.ask.Node).Give()
-	}
 	e := &RefusedError{Group: c.ask.Group, Reason: r, Wait: wait}
 	h.out = append(h.out, Decision{Ask: c.ask, Err: e})
 }
 
 func (h *Home) grant(c *call, s *server) {
 	c.unreserve()
-	if !c.ask.Retry {
-		h.budget(c.ask.Node).First()
-	}
 	h.nextID++
 	h.granted++
 	waited := h.now - c.received
--- a/core/limit/held.go
+++ b/core/limit/held.go
@@ -26,16 +26,12 @@
 	Age    time.Duration
 }
 
-// HeldReport is a node's answer to a new home of a group, or what a home that
-// stops hands to its successor.
+// HeldReport is a node's answer to a new home of a group.
 type HeldReport struct {
 	Node string // node and incarnation
 	Held []Held
 	Warm []WarmSighting
 	Cold []ColdSighting
-	// Whole is the epoch of a home that stopped and knew of all permits, 0: the
-	// report covers only one node. The next epoch need not ask the other nodes.
-	Whole uint64
 }
 
 // Decision is what a home decided on one ask: a permit, or an error of type
--- a/core/limit/home.go
+++ b/core/limit/home.go
@@ -68,7 +68,6 @@
 	queue   fairQueue
 	parked  []*call
 	samples samples
-	budgets map[string]*nodeBudget
 	marks   map[uint64]mark
 	term    term
 }
@@ -88,11 +87,6 @@
 	released  bool // given up by its node, see lingers
 }
 
-type nodeBudget struct {
-	RetryBudget
-	used time.Duration
-}
-
 // mark is what this home itself saw of a fingerprint. It covers the time until the
 // table of suspects has the evidence.
 type mark struct {
@@ -123,14 +117,13 @@
 		h.base = n
 		h.known = map[string]*server{}
 		h.permits = map[permitKey]*permit{}
-		h.budgets = map[string]*nodeBudget{}
 		h.marks = map[uint64]mark{}
 	}
 	t := n.Sub(h.base) + epochStart
 	// A caller that read the clock earlier may get the lock later.
 	h.now = max(h.now, t)
 	h.until = t + min(left, longestAuthority)
-	if left <= 0 || epoch < h.term.epoch || epoch == h.term.epoch && h.term.stopped {
+	if left <= 0 || epoch < h.term.epoch {
 		h.until = 0
 	} else if epoch > h.term.epoch || !h.term.started {
 		h.startTerm(epoch, nil, false)
@@ -249,11 +242,6 @@
 	}
 	h.dispatch()
 	h.queue.forget()
-	for n, b := range h.budgets {
-		if h.now-b.used > time.Minute {
-			delete(h.budgets, n)
-		}
-	}
 	for f, m := range h.marks {
 		if m.until <= h.now {
 			delete(h.marks, f)
@@ -324,19 +312,6 @@
 	h.free = append(h.free, p)
 }
 
-func (h *Home) budget(node string) *nodeBudget {
-	b := h.budgets[node]
-	if b == nil {
-		b = &nodeBudget{}
-		h.budgets[node] = b
-	}
-	b.used = h.now
-	if h.view != nil {
-		b.Share = h.view.Declaration.Defaults.RetryShare
-	}
-	return b
-}
-
 func (h *Home) weight(a *Ask) int {
 	if h.view == nil {
 		return 1
--- a/core/limit/home_test.go
+++ b/core/limit/home_test.go
@@ -174,24 +174,7 @@
 			t.Errorf("permits at the servers: %v, want %v", got, want)
 		}
 	}
-	r := warm(t, 1)
-	r.asks(9, Ask{})
-	o, x := r.h.Stop()
-	r.see(o)
-	if got, want := reason(r.h.Ask(Ask{Group: testGroup, Deadline: time.Second})), RefusedNotHome; got != want {
-		t.Errorf("ask after Stop: %v, want %v", got, want)
-	}
-	r.epoch = 2
-	r.h = &Home{Now: r.h.Now, Authority: r.h.Authority}
-	r.see(r.h.Configure(testView(1), testGroup, nil))
-	r.see(r.h.Begin(2, []string{"n0", "n1"}))
-	r.see(r.h.Adopt(x))
-	r.asks(1, Ask{})
-	r.end("s0", Good)
-	if got, want := len(r.held), 8; got != want || len(r.pending) != 0 {
-		t.Errorf("after a handover: %d permits and %d queued, want %d and 0", got, len(r.pending), want)
-	}
-	r = newRig(t, 1)
+	r := newRig(t, 1)
 	r.epoch = 2
 	r.until = r.now.Add(time.Hour)
 	r.see(r.h.Begin(2, []string{"n0", "n1"}))
@@ -254,20 +237,13 @@
 	}
 }
 
-// Guards against retries over their share and against calls queued past the point
-// where they can end in time.
+// Guards against calls queued past the point where they can end in time.
 func TestRefusesEarly(t *testing.T) {
 	r := warm(t, 1)
 	r.asks(10, Ask{})
 	for range 8 {
 		r.end("s0", Good)
 	}
-	for i, want := range []Refusal{0, RefusedBudget, RefusedBudget, RefusedBudget} {
-		got := reason(r.h.Ask(Ask{Group: testGroup, Deadline: time.Second, Retry: true}))
-		if got != want {
-			t.Errorf("retry %d: %v, want %v", i, got, want)
-		}
-	}
 	r.asks(30, Ask{Deadline: 100 * time.Millisecond})
 	// Service takes 50 ms, so 50 ms of waiting are left: 8 calls for 8 slots.
 	if got, want := len(r.pending), 8; got != want {
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -23,7 +23,6 @@
 	Suspect      bool          // must run alone on its server
 	Want         string        // preferred server, empty: any
 	Avoid        []string      // servers that must not be chosen
-	Retry        bool          // a retry or hedge
 }
 
 // Permit allows exactly one call to one server. The zero value allows nothing.
--- a/core/limit/queue.go
+++ b/core/limit/queue.go
@@ -15,7 +15,6 @@
 	received time.Duration
 	deadline time.Duration // latest end
 	reserved *server       // being emptied for this suspect
-	paid     bool          // a retry token was taken
 }
 
 type flowKey struct{ organisation, class string }
--- a/core/limit/random_test.go
+++ b/core/limit/random_test.go
@@ -208,7 +208,7 @@
 		a := Ask{
 			Node: fmt.Sprint("n", g.IntN(2)), Organisation: []string{"large", "small", "other"}[g.IntN(3)],
 			Deadline:    time.Duration(g.IntN(3500)) * time.Millisecond,
-			Fingerprint: g.Uint64(), Suspect: g.IntN(12) == 0, Retry: g.IntN(12) == 0,
+			Fingerprint: g.Uint64(), Suspect: g.IntN(12) == 0,
 		}
 		if g.IntN(4) == 0 {
 			a.Avoid = []string{fmt.Sprint("s", g.IntN(r.n))}
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -80,13 +80,13 @@
 		a := limit.Ask{
 			Node: x.s.Node, ID: x.s.ids.Add(1), Group: g, Organisation: x.in.organisation,
 			Class: x.in.class.Name, Deadline: x.leftFor(st), Fingerprint: x.story.Fingerprint,
-			Suspect: alone, Avoid: avoid, Retry: retry,
+			Suspect: alone, Avoid: avoid,
 		}
 		if x.s.Want != nil && st.prefix != 0 {
 			a.Want = x.s.Want(g, st.prefix)
 		}
 		m, t := x.s.Clock.Mark(), x.s.now()
-		p, err := x.s.Acquire(ctx, a)
+		p, err := x.s.Acquire(ctx, a, retry)
 		if err == nil {
 			return &grant{permit: p, asked: m, call: x.s.nextID(), retry: retry, alone: alone, queue: x.s.now().Sub(t)}, nil
 		}
--- a/io/caller/input_test.go
+++ b/io/caller/input_test.go
@@ -106,8 +106,8 @@
 		w.node.Finish = func(_ context.Context, _ string, _ claim.Ticket, _ int, _ []byte, r bool) { ran = r }
 		down := true
 		acquire := w.node.Acquire
-		w.node.Acquire = func(ctx context.Context, a limit.Ask) (limit.Permit, error) {
-			p, err := acquire(ctx, a)
+		w.node.Acquire = func(ctx context.Context, a limit.Ask, retry bool) (limit.Permit, error) {
+			p, err := acquire(ctx, a, retry)
 			if down {
 				p.Address = "none:80"
 			}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -48,11 +48,12 @@
 // Acquire, Release and Backend must be set. Without Begin, operation keys are
 // refused as not run; without Suspect, no request is suspected.
 type Server struct {
-	Node    string // node and incarnation
-	Region  string
-	View    func() *fleet.View                                    // nil while there is no configuration
-	Groups  func(pool string, left time.Duration) []fleet.GroupID // in routing order
-	Acquire func(context.Context, limit.Ask) (limit.Permit, error)
+	Node   string // node and incarnation
+	Region string
+	View   func() *fleet.View                                    // nil while there is no configuration
+	Groups func(pool string, left time.Duration) []fleet.GroupID // in routing order
+	// Acquire gets a permit; a retry or hedge is paid for.
+	Acquire func(ctx context.Context, a limit.Ask, retry bool) (limit.Permit, error)
 	Release func(limit.Release)
 	Begin   func(ctx context.Context, organisation, key string, body uint64) (ClaimVerdict, error)
 	Finish  func(ctx context.Context, organisation string, ticket claim.Ticket, status int, answer []byte, ran bool)
--- a/io/demo/policy_test.go
+++ b/io/demo/policy_test.go
@@ -59,7 +59,7 @@
 	bad    map[string]time.Time
 }
 
-func (b *baseline) acquire(ctx context.Context, a limit.Ask) (limit.Permit, error) {
+func (b *baseline) acquire(ctx context.Context, a limit.Ask, _ bool) (limit.Permit, error) {
 	end := time.Now().Add(a.Deadline)
 	for {
 		if s := b.choose(a); s != nil {
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -32,18 +32,16 @@
 }
 
 // acquire gets a permit and keeps the router's and the links' counts.
-func (n *Node) acquire(ctx context.Context, a limit.Ask) (limit.Permit, error) {
+func (n *Node) acquire(ctx context.Context, a limit.Ask, retry bool) (limit.Permit, error) {
 	v := n.view.Load()
 	r := v.Regions[a.Group.Domain]
 	if r != n.self.Region && !n.links.Take(r) {
 		return limit.Permit{}, &limit.RefusedError{Group: a.Group, Reason: limit.RefusedBudget}
 	}
 	share := v.Declaration.Defaults.RetryShare
-	retry := a.Retry
 	if retry && !n.retries.take(a.Group.Pool, share) {
 		return limit.Permit{}, &limit.RefusedError{Group: a.Group, Reason: limit.RefusedBudget}
 	}
-	a.Retry = false // it is paid for here
 	p, err := n.permits.Acquire(ctx, a)
 	if err == nil {
 		if !retry {
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -48,7 +48,7 @@
 	return &wire.Ask{
 		Id: int(a.ID), Group: n.group(a.Group), Organisation: n.number(a.Organisation),
 		Class: n.number(a.Class), Deadline: micros(a.Deadline), Fingerprint: int(a.Fingerprint),
-		Suspect: a.Suspect, Want: n.number(a.Want), Avoid: each(a.Avoid, n.number), Retry: a.Retry,
+		Suspect: a.Suspect, Want: n.number(a.Want), Avoid: each(a.Avoid, n.number),
 	}
 }
 
@@ -57,7 +57,7 @@
 		Node: NodeName(from), ID: uint64(a.Id), Group: n.group(a.Group),
 		Organisation: n.name(a.Organisation), Class: n.name(a.Class), Deadline: duration(a.Deadline),
 		Fingerprint: uint64(a.Fingerprint), Suspect: a.Suspect, Want: n.name(a.Want),
-		Avoid: each(a.Avoid, n.name), Retry: a.Retry,
+		Avoid: each(a.Avoid, n.name),
 	}
 }
 
@@ -122,7 +122,7 @@
 }
 
 func wireHeldReport(r limit.HeldReport) *wire.HeldReport {
-	w := &wire.HeldReport{Node: r.Node, Whole: int(r.Whole)}
+	w := &wire.HeldReport{Node: r.Node}
 	w.Held = each(r.Held, func(h limit.Held) wire.Held {
 		p, n := h.Permit, h.Node
 		if n == r.Node {
@@ -144,7 +144,7 @@
 }
 
 func heldReportOf(w wire.HeldReport, g fleet.GroupID) limit.HeldReport {
-	r := limit.HeldReport{Node: w.Node, Whole: uint64(w.Whole)}
+	r := limit.HeldReport{Node: w.Node}
 	r.Held = each(w.Held, func(h wire.Held) limit.Held {
 		p := limit.Permit{
 			ID: uint64(h.Id), Epoch: uint64(h.Epoch), Ask: uint64(h.Ask), Group: g,
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -25,9 +25,6 @@
 	// Organisation by number, see Names; 0: empty.
 	Organisation int `msgpack:"organisation"`
 
-	// Retry corresponds to the JSON schema field "retry".
-	Retry bool `msgpack:"retry"`
-
 	// Suspect corresponds to the JSON schema field "suspect".
 	Suspect bool `msgpack:"suspect"`
 
@@ -259,10 +256,6 @@
 
 	// Warm corresponds to the JSON schema field "warm".
 	Warm []Warm `msgpack:"warm"`
-
-	// Epoch of a home that stopped and knew of all permits, 0: the report covers one
-	// node.
-	Whole int `msgpack:"whole"`
 }
 
 // Opens a link. The acceptor answers with its own, which proves that it has the
