One verdict of claims: callers take that of core/claim

caller.ClaimVerdict and its five states said again what claim.Verdict says, with a translation in io/node; what it added, 'claims cannot be made now', is the error beside it. TestClaims and TestNonIdempotentEndsWhole pass unchanged but for the type; 'table is down' now hands the real error.

--- a/io/caller/fault_test.go
+++ b/io/caller/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -258,26 +259,27 @@
 // claim that is closed wrongly.
 func TestClaims(t *testing.T) {
 	for name, c := range map[string]struct {
-		verdict  ClaimVerdict
+		verdict  claim.Verdict
+		err      error
 		refuse   bool
 		want     string
 		runs     int
 		finished string
 	}{
-		"claimed":       {verdict: ClaimVerdict{State: ClaimRun, Ticket: claim.Ticket{Token: "t"}}, want: `{"outcome":"ok","output":1}`, runs: 1, finished: `t {"outcome":"ok","output":1} true`},
-		"no permit":     {verdict: ClaimVerdict{State: ClaimRun, Ticket: claim.Ticket{Token: "t"}}, refuse: true, want: `"ran":"not_run"`, finished: "t  false"},
-		"recorded":      {verdict: ClaimVerdict{State: ClaimRecorded, Answer: []byte(`{"a":1}`)}, want: `{"a":1}`},
-		"unknown":       {verdict: ClaimVerdict{State: ClaimUnknown}, want: `"outcome_unknown"`},
-		"another body":  {verdict: ClaimVerdict{State: ClaimConflict}, want: `"conflict"`},
-		"table is down": {verdict: ClaimVerdict{State: ClaimNotRun}, want: `"unavailable"`},
+		"claimed":       {verdict: claim.Verdict{Kind: claim.Run, Ticket: claim.Ticket{Token: "t"}}, want: `{"outcome":"ok","output":1}`, runs: 1, finished: `t {"outcome":"ok","output":1} true`},
+		"no permit":     {verdict: claim.Verdict{Kind: claim.Run, Ticket: claim.Ticket{Token: "t"}}, refuse: true, want: `"ran":"not_run"`, finished: "t  false"},
+		"recorded":      {verdict: claim.Verdict{Kind: claim.Recorded, Answer: []byte(`{"a":1}`)}, want: `{"a":1}`},
+		"unknown":       {verdict: claim.Verdict{Kind: claim.Unknown}, want: `"outcome_unknown"`},
+		"another body":  {verdict: claim.Verdict{Kind: claim.Conflict}, want: `"conflict"`},
+		"table is down": {err: &claim.RefusedError{Cause: errors.New("down")}, want: `"unavailable"`},
 	} {
 		t.Run(name, within(func(t *testing.T, w *world) {
 			finished := ""
-			w.node.Begin = func(_ context.Context, o, k string, _ uint64) (ClaimVerdict, error) {
+			w.node.Begin = func(_ context.Context, o, k string, _ uint64) (claim.Verdict, error) {
 				if o != "org" || k != "k1" {
 					t.Errorf("claim = %s/%s", o, k)
 				}
-				return c.verdict, nil
+				return c.verdict, c.err
 			}
 			w.node.Finish = func(_ context.Context, _ string, ticket claim.Ticket, _ int, answer []byte, ran bool) {
 				finished = ticket.Token + " " + string(answer) + map[bool]string{true: " true", false: " false"}[ran]
--- a/io/caller/input_test.go
+++ b/io/caller/input_test.go
@@ -99,8 +99,8 @@
 // answer, and against a call that is given up although it was never sent.
 func TestNonIdempotentEndsWhole(t *testing.T) {
 	within(func(t *testing.T, w *world) {
-		w.node.Begin = func(context.Context, string, string, uint64) (ClaimVerdict, error) {
-			return ClaimVerdict{State: ClaimRun, Ticket: claim.Ticket{Token: "t"}}, nil
+		w.node.Begin = func(context.Context, string, string, uint64) (claim.Verdict, error) {
+			return claim.Verdict{Kind: claim.Run, Ticket: claim.Ticket{Token: "t"}}, nil
 		}
 		ran := false
 		w.node.Finish = func(_ context.Context, _ string, _ claim.Ticket, _ int, _ []byte, r bool) { ran = r }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -55,7 +55,8 @@
 	// Acquire gets a permit; a retry or hedge is paid for.
 	Acquire func(ctx context.Context, a limit.Ask, retry bool) (limit.Permit, error)
 	Release func(limit.Release)
-	Begin   func(ctx context.Context, organisation, key string, body uint64) (ClaimVerdict, error)
+	// Begin claims a call with a key. After an error the call is not run.
+	Begin   func(ctx context.Context, organisation, key string, body uint64) (claim.Verdict, error)
 	Finish  func(ctx context.Context, organisation string, ticket claim.Ticket, status int, answer []byte, ran bool)
 	Suspect func(fingerprint uint64) member.SuspectState
 	// Want names the server that may have a prompt with this hash of its first bytes
@@ -95,26 +96,6 @@
 	done     chan struct{}
 }
 
-// ClaimState is what may be done with a non-idempotent call that has a key.
-type ClaimState uint8
-
-// The claim states.
-const (
-	ClaimRun      ClaimState = iota + 1 // claimed for this call: send it once
-	ClaimRecorded                       // an earlier call ran: its answer is known
-	ClaimUnknown                        // an earlier call was claimed, its outcome is unknown
-	ClaimConflict                       // the key was used with another body
-	ClaimNotRun                         // claims cannot be made now
-)
-
-// ClaimVerdict is the answer of Begin.
-type ClaimVerdict struct {
-	State  ClaimState
-	Ticket claim.Ticket // of ClaimRun, for Finish
-	Status int          // of ClaimRecorded
-	Answer []byte       // of ClaimRecorded
-}
-
 func or[T int | int64](v, d T) T {
 	if v > 0 {
 		return v
--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -91,23 +91,21 @@
 		return nil, &failure{cause: stage.CauseClaims}
 	}
 	v, err := x.s.Begin(x.ctx, x.in.organisation, x.in.key, x.claimHash())
-	if x.ctx.Err() != nil && v.State != ClaimRun {
+	if x.ctx.Err() != nil && (err != nil || v.Kind != claim.Run) {
 		return nil, x.stopped()
 	}
-	if err != nil && v.State != ClaimUnknown {
+	if err != nil {
 		return nil, &failure{cause: stage.CauseClaims, err: err}
 	}
-	switch v.State {
-	case ClaimRun:
-	case ClaimRecorded:
+	switch v.Kind {
+	case claim.Run:
+	case claim.Recorded:
 		x.status = or(v.Status, http.StatusOK)
 		return v.Answer, nil
-	case ClaimConflict:
+	case claim.Conflict:
 		return nil, final(outcome.Conflict, "the operation key was used with another body")
-	case ClaimUnknown:
-		return nil, final(outcome.Unknown, "an earlier call with this operation key has no recorded outcome")
 	default:
-		return nil, &failure{cause: stage.CauseClaims}
+		return nil, final(outcome.Unknown, "an earlier call with this operation key has no recorded outcome")
 	}
 	st.key = x.keyName()
 	b, f := x.once(st)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -289,7 +289,7 @@
 	n.metrics = metrics.New()
 	n.caller = &caller.Server{
 		Node: peer.NodeName(n.self.Holder), Region: s.Region, View: n.view.Load, Groups: n.route,
-		Acquire: n.acquire, Release: n.release, Begin: n.beginClaim, Finish: n.finishClaim,
+		Acquire: n.acquire, Release: n.release, Begin: n.relay.Begin, Finish: n.finishClaim,
 		Suspect: n.suspects.Check, Backend: n.backend, Clock: n.BackendClock, Observe: n.observe,
 		Gap: n.metrics.Gap, Record: n.Record, Log: n.Log, Workers: s.Workers,
 		MaxBody: int(s.BodyBytes), MaxHeader: int(s.HeaderBytes), MaxInflight: s.InFlightBytes,
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -13,7 +13,6 @@
 	"bergamotspring/core/limit"
 	"bergamotspring/core/member"
 	"bergamotspring/core/route"
-	"bergamotspring/io/caller"
 )
 
 // spreadPeers is how many nodes hear of a suspect at once; each that had not heard
@@ -81,23 +80,6 @@
 	return n.members.Live(n.self.Region)
 }
 
-// beginClaim claims a call with a key.
-func (n *Node) beginClaim(ctx context.Context, organisation, key string, body uint64) (caller.ClaimVerdict, error) {
-	v, err := n.relay.Begin(ctx, organisation, key, body)
-	if err != nil {
-		return caller.ClaimVerdict{State: caller.ClaimNotRun}, err
-	}
-	switch v.Kind {
-	case claim.Run:
-		return caller.ClaimVerdict{State: caller.ClaimRun, Ticket: v.Ticket}, nil
-	case claim.Recorded:
-		return caller.ClaimVerdict{State: caller.ClaimRecorded, Status: v.Status, Answer: v.Answer}, nil
-	case claim.Conflict:
-		return caller.ClaimVerdict{State: caller.ClaimConflict}, nil
-	}
-	return caller.ClaimVerdict{State: caller.ClaimUnknown}, nil
-}
-
 // finishClaim records the answer of a claimed call, or frees a claim of which no
 // byte was sent.
 func (n *Node) finishClaim(_ context.Context, organisation string, t claim.Ticket, status int, answer []byte, ran bool) {
