Split permits out of io/node; one Sleep and one Every

io/permit holds how a node gets permits and how a home grants them (permits, grants, retries; 7 files, 1,100 lines), which io/node only assembles. io/wait holds the waits that io/edge, io/node, the stand-ins' network and the commands each had a copy of. No behaviour changes.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -30,6 +30,7 @@
 	"bergamotspring/io/exchange"
 	"bergamotspring/io/peer"
 	"bergamotspring/io/relay"
+	"bergamotspring/io/wait"
 	"bergamotspring/platform"
 )
 
@@ -160,7 +161,7 @@
 	}
 	g.Add(func() error { n.home.run(work); return nil }, func(error) { end() })
 	g.Add(func() error { n.link(work); return nil }, func(error) { end() })
-	g.Add(func() error { every(work, sweepEvery, n.pool.Sweep); return nil }, func(error) { end() })
+	g.Add(func() error { wait.Every(work, sweepEvery, n.pool.Sweep); return nil }, func(error) { end() })
 	g.Add(func() error { n.hangups(work); return nil }, func(error) { end() })
 	g.Add(func() error { return n.serve(work, callers) }, func(error) { _ = callers.Close() })
 	probe := &http.Server{Addr: n.Settings.Readiness, Handler: http.HandlerFunc(n.readiness), ReadHeaderTimeout: headerTimeout}
@@ -248,7 +249,7 @@
 			return k
 		}
 		n.Log.Warn("peer_key_failed", zap.Error(err))
-		sleep(ctx, pause)
+		wait.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -264,17 +265,3 @@
 		}
 	}
 }
-
-// every calls f at an interval until the context ends.
-func every(ctx context.Context, d time.Duration, f func()) {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f()
-		}
-	}
-}
--- a/io/edge/home.go
+++ b/io/edge/home.go
@@ -15,6 +15,7 @@
 
 	"bergamotspring/core/place"
 	"bergamotspring/io/exchange"
+	"bergamotspring/io/wait"
 	"bergamotspring/platform"
 )
 
@@ -147,7 +148,7 @@
 
 // run ticks until the context ends.
 func (h *home) run(ctx context.Context) {
-	every(ctx, homeTick, func() { h.do((*place.Home).Tick) })
+	wait.Every(ctx, homeTick, func() { h.do((*place.Home).Tick) })
 }
 
 // call carries one call to a server of a stage.
--- a/io/edge/logging.go
+++ b/io/edge/logging.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"bergamotspring/io/wait"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -70,7 +71,7 @@
 
 // report tells how many lines were dropped, until the context ends.
 func (w *lineWriter) report(ctx context.Context, l *zap.Logger) {
-	every(ctx, logDropEvery, func() {
+	wait.Every(ctx, logDropEvery, func() {
 		if n := w.dropped.Swap(0); n > 0 {
 			l.Warn("log_dropped", zap.Int64("lines", n))
 		}
--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -13,6 +13,7 @@
 	"bergamotspring/core/roster"
 	"bergamotspring/core/store"
 	"bergamotspring/io/peer"
+	"bergamotspring/io/wait"
 	"bergamotspring/platform"
 )
 
@@ -26,7 +27,7 @@
 // members registers this node and looks after the others until the context ends.
 func (n *Node) members(ctx context.Context) {
 	n.register(ctx)
-	every(ctx, probeEvery, func() {
+	wait.Every(ctx, probeEvery, func() {
 		if !n.registered() {
 			n.register(ctx)
 		}
@@ -77,7 +78,7 @@
 		return
 	}
 	n.Log.Info("registered")
-	sleep(ctx, probeEvery) // the row is read back before the next look
+	wait.Sleep(ctx, probeEvery) // the row is read back before the next look
 }
 
 // probe asks a node that did not answer for anything; a hello clears it.
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"bergamotspring/io/wait"
 	"go.uber.org/zap"
 )
 
@@ -31,7 +32,7 @@
 	n.Log.Info("stop", zap.Time("limit", limit))
 	n.unregister(work)
 	n.home.leave()
-	sleep(work, stopAccepting)
+	wait.Sleep(work, stopAccepting)
 	c, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	if err := callers.Shutdown(c); err != nil {
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -14,6 +14,7 @@
 
 	"bergamotspring/core/store"
 	"bergamotspring/io/peer"
+	"bergamotspring/io/wait"
 	"bergamotspring/platform"
 )
 
@@ -70,7 +71,7 @@
 		if err == nil {
 			f.reached()
 			pause = retryMin
-			sleep(ctx, f.every)
+			wait.Sleep(ctx, f.every)
 			continue
 		}
 		if errors.Is(err, platform.ErrHistory) {
@@ -82,7 +83,7 @@
 		}
 		f.failed(err)
 		f.mirror(ctx)
-		sleep(ctx, time.Duration(float64(pause)*(0.5+rand.Float64())))
+		wait.Sleep(ctx, time.Duration(float64(pause)*(0.5+rand.Float64())))
 		pause = min(2*pause, retryMax)
 	}
 }
@@ -189,16 +190,3 @@
 	}
 	return t, true
 }
-
-// sleep waits, unless the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/node/backoff.go
+++ b/io/node/backoff.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -54,18 +53,3 @@
 	}
 	return time.Since(h.since)
 }
-
-// sleep waits for d or the end of ctx, and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/io/node/fake_test.go
+++ b/io/node/fake_test.go
@@ -17,6 +17,7 @@
 	"bergamotspring/core/limit"
 	"bergamotspring/core/member"
 	"bergamotspring/core/store"
+	"bergamotspring/io/wait"
 )
 
 var errDown = errors.New("fake: the table does not answer")
@@ -133,7 +134,7 @@
 		d = time.Duration(w.rand.Int64N(w.delay))
 	}
 	w.mu.Unlock()
-	if !sleep(ctx, d) {
+	if !wait.Sleep(ctx, d) {
 		return ctx.Err()
 	}
 	return nil
@@ -327,7 +328,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	n.ran.Go(func() {
-		for n.join(ctx) != nil && sleep(ctx, tick) {
+		for n.join(ctx) != nil && wait.Sleep(ctx, tick) {
 		}
 	})
 	n.ran.Go(func() { _ = n.homes.Run(ctx) })
--- a/io/node/gossip.go
+++ b/io/node/gossip.go
@@ -8,6 +8,7 @@
 
 	"bergamotspring/core/lease"
 	"bergamotspring/core/member"
+	"bergamotspring/io/wait"
 )
 
 // The digest goes to three random peers each second: a change reaches 320 nodes in
@@ -84,7 +85,7 @@
 	case <-t.C:
 		return true
 	case <-g.prompt:
-		return sleep(ctx, promptAfter) // groups often move together
+		return wait.Sleep(ctx, promptAfter) // groups often move together
 	}
 }
 
--- a/io/node/homes_move.go
+++ b/io/node/homes_move.go
@@ -9,6 +9,7 @@
 	"bergamotspring/core/lease"
 	"bergamotspring/core/member"
 	"bergamotspring/core/store"
+	"bergamotspring/io/wait"
 )
 
 // balance does at most one planned change every two seconds: a deputy in another
@@ -156,7 +157,7 @@
 		} else if h.resign(ctx, m) {
 			h.change(ctx, m, c[0].Holder, true)
 		}
-		if !sleep(ctx, stopRetry) {
+		if !wait.Sleep(ctx, stopRetry) {
 			break
 		}
 	}
@@ -187,7 +188,7 @@
 			h.spreadNow(x.Record)
 			return nil
 		}
-		sleep(ctx, stopRetry)
+		wait.Sleep(ctx, stopRetry)
 	}
 	return ctx.Err()
 }
--- a/io/node/homes_peers.go
+++ b/io/node/homes_peers.go
@@ -9,6 +9,7 @@
 	"bergamotspring/core/lease"
 	"bergamotspring/core/limit"
 	"bergamotspring/core/member"
+	"bergamotspring/io/wait"
 )
 
 // peerLoop asks for promises and names deputies each tick.
@@ -167,7 +168,7 @@
 		if ctx.Err() != nil || !h.still(g, epoch) {
 			return
 		}
-		if len(left) > 0 && !sleep(ctx, heldRetry) {
+		if len(left) > 0 && !wait.Sleep(ctx, heldRetry) {
 			return
 		}
 	}
--- a/io/node/lifecycle.go
+++ b/io/node/lifecycle.go
@@ -15,6 +15,7 @@
 	"bergamotspring/core/lease"
 	"bergamotspring/core/member"
 	"bergamotspring/core/store"
+	"bergamotspring/io/wait"
 )
 
 const (
@@ -93,7 +94,7 @@
 			break
 		}
 		n.Log.Warn("join failed", zap.Error(err))
-		sleep(ctx, joinRetry)
+		wait.Sleep(ctx, joinRetry)
 	}
 	<-ctx.Done()
 	return nil
@@ -146,7 +147,7 @@
 	n.Log.Info("draining", zap.Duration("at_most", n.Settings.Drain))
 	end, cancel := context.WithTimeout(inner, n.Settings.Drain)
 	defer cancel()
-	sleep(end, min(n.Settings.Drain/lingerShare, lingerMost))
+	wait.Sleep(end, min(n.Settings.Drain/lingerShare, lingerMost))
 	select {
 	case <-n.caller.Drain():
 	case <-end.Done():
@@ -172,7 +173,7 @@
 
 // upkeep does what is due once a second.
 func (n *Node) upkeep(ctx context.Context) error {
-	for sleep(ctx, upkeepEvery) {
+	for wait.Sleep(ctx, upkeepEvery) {
 		n.suspects.Tick()
 		n.checkAlarms()
 	}
--- a/io/node/links.go
+++ b/io/node/links.go
@@ -13,6 +13,7 @@
 	"bergamotspring/core/member"
 	"bergamotspring/core/route"
 	"bergamotspring/io/peer"
+	"bergamotspring/io/wait"
 )
 
 const (
@@ -149,7 +150,7 @@
 func (l *Links) Run(ctx context.Context) error {
 	l.init()
 	defer close(l.done)
-	for sleep(ctx, linkPeriod) {
+	for wait.Sleep(ctx, linkPeriod) {
 		l.mu.Lock()
 		m := make(map[string]*link, len(l.links))
 		for to, k := range l.links {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -34,6 +34,7 @@
 	"bergamotspring/io/metrics"
 	"bergamotspring/io/operator"
 	"bergamotspring/io/peer"
+	"bergamotspring/io/permit"
 	"bergamotspring/io/platform"
 	"bergamotspring/schema"
 	"bergamotspring/schema/setting"
@@ -70,15 +71,15 @@
 	homes    *Homes
 	watch    *Watch
 	gossip   *Gossip
-	grants   *Grants
+	grants   *permit.Grants
 	links    *Links
 	orders   *Orders
-	permits  *Permits
+	permits  *permit.Permits
 	claims   *platform.Claims
 	relay    *platform.Relay
 	suspects *suspect.Table
 	router   *route.Router
-	retries  retryBudgets
+	retries  permit.Retries
 	backend  *backend.Client
 	caller   *caller.Server
 	metrics  *metrics.Metrics
@@ -250,14 +251,14 @@
 func (n *Node) buildPermits() {
 	n.suspects = &suspect.Table{Now: time.Now}
 	n.backend = &backend.Client{Dial: n.Dial, Clock: n.BackendClock}
-	n.grants = &Grants{
+	n.grants = &permit.Grants{
 		Authority: n.homes.Authority, VM: n.members.VM,
 		Deliver:  func(l []limit.Decision) { n.permits.Deliver(l) },
 		Suspects: n.suspects, Spread: n.spreadSuspects, Load: n.backend.Load,
 	}
-	n.permits = &Permits{
+	n.permits = &permit.Permits{
 		Self: n.self.Holder, Home: n.homeNode, Local: n.grants.Local,
-		Links: PermitLinks{Ask: n.mesh.Ask, Releases: n.mesh.Releases, Withdraw: n.mesh.Withdraw},
+		Links: permit.Links{Ask: n.mesh.Ask, Releases: n.mesh.Releases, Withdraw: n.mesh.Withdraw},
 	}
 	n.links = &Links{
 		Self: n.self.Holder, Region: n.self.Region, Authority: n.homes.Authority,
--- a/io/node/orders.go
+++ b/io/node/orders.go
@@ -11,6 +11,7 @@
 	"bergamotspring/core/lease"
 	"bergamotspring/core/order"
 	"bergamotspring/core/store"
+	"bergamotspring/io/wait"
 )
 
 // The periods of Orders.
@@ -63,7 +64,7 @@
 		if v := o.View(); v != nil {
 			o.round(ctx, v, &w)
 		}
-		sleep(ctx, orderPeriod)
+		wait.Sleep(ctx, orderPeriod)
 	}
 	w.Wait()
 	return nil
@@ -142,7 +143,7 @@
 	for range slotTries {
 		var at time.Time
 		if at, err = o.slot(ctx, perMinute); err == nil {
-			if !sleep(ctx, time.Until(at)) {
+			if !wait.Sleep(ctx, time.Until(at)) {
 				return ctx.Err()
 			}
 			return nil
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -38,19 +38,19 @@
 		return limit.Permit{}, &limit.RefusedError{Group: a.Group, Reason: limit.RefusedBudget}
 	}
 	share := v.Declaration.Defaults.RetryShare
-	if retry && !n.retries.take(a.Group.Pool, share) {
+	if retry && !n.retries.Take(a.Group.Pool, share) {
 		return limit.Permit{}, &limit.RefusedError{Group: a.Group, Reason: limit.RefusedBudget}
 	}
 	p, err := n.permits.Acquire(ctx, a)
 	if err == nil {
 		if !retry {
-			n.retries.first(a.Group.Pool, share)
+			n.retries.First(a.Group.Pool, share)
 		}
 		n.router.Sent(a.Group)
 		return p, nil
 	}
 	if retry {
-		n.retries.give(a.Group.Pool, share)
+		n.retries.Give(a.Group.Pool, share)
 	}
 	if e, ok := errors.AsType[*limit.RefusedError](err); ok {
 		n.router.Refused(e)
--- a/io/node/watch_peers.go
+++ b/io/node/watch_peers.go
@@ -10,6 +10,7 @@
 	"bergamotspring/core/lease"
 	"bergamotspring/core/member"
 	"bergamotspring/core/store"
+	"bergamotspring/io/wait"
 )
 
 // Heard takes the version that a peer's digest names, and has a newer one fetched.
@@ -144,7 +145,7 @@
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			break
 		}
-		if !sleep(ctx, refusalPause) {
+		if !wait.Sleep(ctx, refusalPause) {
 			return a, 0, ctx.Err()
 		}
 	}
@@ -163,7 +164,7 @@
 		if err == nil {
 			w.Members.VMs(l)
 		}
-		if !sleep(ctx, vmPeriod) {
+		if !wait.Sleep(ctx, vmPeriod) {
 			return
 		}
 	}
--- a/io/operator/command/change.go
+++ b/io/operator/command/change.go
@@ -12,6 +12,7 @@
 
 	"bergamotspring/core/fleet"
 	"bergamotspring/io/operator"
+	"bergamotspring/io/wait"
 	"bergamotspring/schema"
 )
 
@@ -89,7 +90,7 @@
 		if i == sendTries {
 			return v, fmt.Errorf("%w\n  to find out, repeat with --id %s --expect %d, or look at status", err, r.ID, r.Expected)
 		}
-		if e := wait(ctx, pollEvery); e != nil {
+		if !wait.Sleep(ctx, pollEvery) {
 			return v, err
 		}
 	}
@@ -110,7 +111,7 @@
 		} else if ctx.Err() == nil {
 			last = err
 		}
-		if wait(ctx, pollEvery) != nil {
+		if !wait.Sleep(ctx, pollEvery) {
 			break
 		}
 	}
--- a/io/operator/command/target.go
+++ b/io/operator/command/target.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -63,15 +62,3 @@
 	h.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: p, MinVersion: tls.VersionTLS12}}
 	return h, nil
 }
-
-// wait sleeps, or returns the error of a context that ends before.
-func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/io/node/grants.go
+++ b/io/permit/grants.go
@@ -1,4 +1,4 @@
-package node
+package permit
 
 // This file runs the permit tables of the groups whose home is this node.
 
@@ -14,6 +14,7 @@
 	"bergamotspring/core/order"
 	"bergamotspring/core/suspect"
 	"bergamotspring/io/backend"
+	"bergamotspring/io/wait"
 )
 
 const (
@@ -204,7 +205,7 @@
 	defer close(g.done)
 	var w sync.WaitGroup
 	w.Go(func() { g.poll(ctx) })
-	for sleep(ctx, grantTick) {
+	for wait.Sleep(ctx, grantTick) {
 		g.follow()
 		for _, h := range g.all() {
 			g.Deliver(h.Tick())
@@ -240,7 +241,7 @@
 // poll asks the servers of the tables for their loads. Only homes ask, so that a
 // server is asked twice a second whatever the number of nodes.
 func (g *Grants) poll(ctx context.Context) {
-	for g.Load != nil && sleep(ctx, loadPeriod) {
+	for g.Load != nil && wait.Sleep(ctx, loadPeriod) {
 		var w sync.WaitGroup
 		for id, h := range g.reporting() {
 			for _, s := range id.Servers {
--- a/io/node/permits_held.go
+++ b/io/permit/held.go
@@ -1,4 +1,4 @@
-package node
+package permit
 
 // This file defines what a node remembers of its permits and of the servers it used,
 // for the reports that a new home asks for.
--- a/io/node/permits.go
+++ b/io/permit/permits.go
@@ -2,7 +2,7 @@
 //
 // This file defines how a node gets permits: from the home of a group in this process
 // or, over peer links, in another one.
-package node
+package permit
 
 import (
 	"context"
@@ -37,9 +37,9 @@
 	Summary  func() limit.Summary
 }
 
-// PermitLinks is how Permits reaches homes in other processes. *peer.Mesh has these
+// Links is how Permits reaches homes in other processes. *peer.Mesh has these
 // methods.
-type PermitLinks struct {
+type Links struct {
 	Ask      func(to member.Node, a limit.Ask, expire time.Duration, done func(limit.Decision, limit.Summary)) error
 	Releases func(to member.Node, l []limit.Release, done func(error)) error
 	Withdraw func(to member.Node, g fleet.GroupID, ask uint64) error
@@ -54,7 +54,7 @@
 	Home func(fleet.GroupID) (member.Node, bool)
 	// Local returns the group's home if it is in this process.
 	Local func(fleet.GroupID) (LocalHome, bool)
-	Links PermitLinks
+	Links Links
 
 	mu       sync.Mutex
 	asks     uint64 // last Ask.ID
--- a/io/node/permits_test.go
+++ b/io/permit/permits_test.go
@@ -1,4 +1,4 @@
-package node
+package permit
 
 import (
 	"context"
@@ -117,7 +117,7 @@
 			return member.Node{Holder: lease.Holder{Node: n, Incarnation: "1"}, Peer: n + ":1"}, true
 		},
 		Local: func(fleet.GroupID) (LocalHome, bool) { return c.home[name].home(), c.current() == name },
-		Links: PermitLinks{Ask: m.Ask, Releases: m.Releases, Withdraw: m.Withdraw},
+		Links: Links{Ask: m.Ask, Releases: m.Releases, Withdraw: m.Withdraw},
 	}
 	h := peer.Handlers{Ask: p.OnAsk, Releases: p.OnReleases, Withdraw: p.OnWithdraw, Held: p.Held}
 	h.Register(m)
--- a/io/node/permits_release.go
+++ b/io/permit/release.go
@@ -1,4 +1,4 @@
-package node
+package permit
 
 // This file defines how releases reach the homes: at once in this process, in batches
 // over links.
--- a/io/node/retries.go
+++ b/io/permit/retries.go
@@ -1,4 +1,6 @@
-package node
+package permit
+
+// This file bounds retries and hedges.
 
 import (
 	"sync"
@@ -6,15 +8,15 @@
 	"bergamotspring/core/limit"
 )
 
-// retryBudgets bounds this node's retries and hedges, by pool. A budget for each
+// Retries bounds a node's retries and hedges, by pool. A budget for each
 // group would refuse those that go to another group than their first try, and a
 // group of one server has no other place for them.
-type retryBudgets struct {
+type Retries struct {
 	mu    sync.Mutex
 	pools map[string]*limit.RetryBudget
 }
 
-func (r *retryBudgets) of(pool string, share float64) *limit.RetryBudget {
+func (r *Retries) of(pool string, share float64) *limit.RetryBudget {
 	b := r.pools[pool]
 	if b == nil {
 		b = &limit.RetryBudget{}
@@ -24,22 +26,22 @@
 	return b
 }
 
-// first counts a first try that got its permit.
-func (r *retryBudgets) first(pool string, share float64) {
+// First counts a first try that got its permit.
+func (r *Retries) First(pool string, share float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.of(pool, share).First()
 }
 
-// take pays for a retry or hedge and reports whether it may be asked for.
-func (r *retryBudgets) take(pool string, share float64) bool {
+// Take pays for a retry or hedge and reports whether it may be asked for.
+func (r *Retries) Take(pool string, share float64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.of(pool, share).Take()
 }
 
-// give returns what a retry paid that got no permit.
-func (r *retryBudgets) give(pool string, share float64) {
+// Give returns what a retry paid that got no permit.
+func (r *Retries) Give(pool string, share float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.of(pool, share).Give()
--- a/io/node/permits_serve.go
+++ b/io/permit/serve.go
@@ -1,4 +1,4 @@
-package node
+package permit
 
 // This file defines the side of the homes in this process: asks of other nodes, and
 // the delivery of decisions to whoever waits for them.
--- a/io/standin/network.go
+++ b/io/standin/network.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bergamotspring/io/wait"
 )
 
 // dialLimit is how long a dial to a host that does not answer takes to fail, as
@@ -369,15 +371,8 @@
 func (a addr) String() string  { return string(a) }
 
 func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
