Split what a node knows of its fleet out of io/node

The arrows go one way: node -> permit, control -> core. Tests moved with what they test; no behaviour changes.

--- a/io/control/control_bench_test.go
+++ b/io/control/control_bench_test.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 // in-memory fakes and a real clock. CPU includes the fakes; bytes are those of digests
 // and promises as JSON, which is longer than the frames between nodes. Run it with
 //
-//	go test ./io/node -run xxx -bench Control -benchtime 1x
+//	go test ./io/control -run xxx -bench Control -benchtime 1x
 func BenchmarkControl(b *testing.B) {
 	for _, s := range []struct{ nodes, servers, groups, domains int }{
 		{8, 25, 4, 3}, {32, 100, 16, 3}, {100, 300, 49, 6}, {320, 920, 150, 10},
--- a/io/control/gossip.go
+++ b/io/control/gossip.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
@@ -65,7 +65,7 @@
 		d := g.Digest()
 		for _, n := range g.Some(gossipPeers) {
 			w.Go(func() {
-				c, cancel := context.WithTimeout(ctx, peerTimeout)
+				c, cancel := context.WithTimeout(ctx, PeerTimeout)
 				defer cancel()
 				_ = g.Send(c, n, d) // the next round makes up for a loss
 			})
--- a/io/control/homes.go
+++ b/io/control/homes.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"cmp"
@@ -23,14 +23,14 @@
 const (
 	tick          = 250 * time.Millisecond
 	silentAfter   = 300 * time.Millisecond
-	tableTimeout  = time.Second
-	peerTimeout   = 400 * time.Millisecond
-	rebalance     = 2 * time.Second // between planned moves of one home
-	settle        = 2 * time.Second // after the start, so that nodes that start together know each other
-	rankDelay     = 3 * time.Second // the next candidate for a free group waits this much longer
-	outageAfter   = 3 * time.Second // without the table, promises get the long term
-	takesPerTick  = 8               // transactions under way at once
-	asksAtOnce    = 32              // peer calls under way at once for one question
+	TableTimeout  = time.Second            // bounds a call to the table
+	PeerTimeout   = 400 * time.Millisecond // bounds a call to another node
+	rebalance     = 2 * time.Second        // between planned moves of one home
+	settle        = 2 * time.Second        // after the start, so that nodes that start together know each other
+	rankDelay     = 3 * time.Second        // the next candidate for a free group waits this much longer
+	outageAfter   = 3 * time.Second        // without the table, promises get the long term
+	takesPerTick  = 8                      // transactions under way at once
+	asksAtOnce    = 32                     // peer calls under way at once for one question
 	heldRetry     = 500 * time.Millisecond
 	defaultMaxAsk = 10 * time.Second // for held reports, if MaxCall is nil
 )
@@ -331,86 +331,3 @@
 func (h *Homes) token() string {
 	return fmt.Sprintf("%s/%016x%016x", h.Self.Holder.Incarnation, h.rand.Uint64(), h.rand.Uint64())
 }
-
-// unlock notes gained and lost homes, releases mu and makes the calls that follow.
-func (h *Homes) unlock() {
-	for _, m := range h.order {
-		h.compare(m.Group, m)
-	}
-	h.mu.Unlock()
-	h.flush()
-}
-
-func (h *Homes) compare(g fleet.GroupID, m *lease.Machine) {
-	epoch := uint64(0)
-	if m.Home() && !h.ended {
-		epoch = m.Record().Epoch
-	}
-	old := h.opened[g]
-	if old == epoch {
-		return
-	}
-	if old > 0 {
-		delete(h.opened, g)
-		delete(h.naming, g)
-		h.calls = append(h.calls, func() { h.lost(g, old) })
-	}
-	if epoch > 0 {
-		h.opened[g] = epoch
-		h.calls = append(h.calls, func() { h.gained(g, epoch) })
-		h.spread(m.Record())
-	}
-}
-
-// flush makes the queued calls in order. If a call is being made already, whoever
-// makes it goes on with the rest.
-func (h *Homes) flush() {
-	for h.flushing.TryLock() {
-		n := h.drain()
-		h.flushing.Unlock()
-		if n == 0 {
-			return
-		}
-	}
-}
-
-func (h *Homes) drain() int {
-	h.mu.Lock()
-	l := h.calls
-	h.calls = nil
-	h.mu.Unlock()
-	for _, f := range l {
-		f()
-	}
-	return len(l)
-}
-
-func (h *Homes) lost(g fleet.GroupID, epoch uint64) {
-	h.event(record.Event{Kind: record.HomeLost, Epoch: epoch, Domain: g.Domain, Group: g.String()})
-	if h.Close != nil {
-		h.Close(g)
-	}
-}
-
-func (h *Homes) gained(g fleet.GroupID, epoch uint64) {
-	h.event(record.Event{Kind: record.HomeGained, Epoch: epoch, Domain: g.Domain, Group: g.String()})
-	if h.Open != nil {
-		h.Open(g, epoch)
-	}
-	h.search(g, epoch)
-}
-
-func (h *Homes) event(e record.Event) {
-	if h.Record == nil {
-		return
-	}
-	e.At, e.Actor = time.Now(), h.Self.Holder.Node
-	h.Record(e)
-}
-
-func (h *Homes) poke() {
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
-}
--- a/io/control/homes_move.go
+++ b/io/control/homes_move.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
@@ -79,7 +79,7 @@
 		return true
 	}
 	n, _ := h.Members.Get(d.Node)
-	c, cancel := context.WithTimeout(ctx, peerTimeout)
+	c, cancel := context.WithTimeout(ctx, PeerTimeout)
 	defer cancel()
 	if n.Holder != d || h.Peers.Handover(c, n, x) != nil {
 		return false
@@ -113,7 +113,7 @@
 	_ = h.conflict(err) // an open result is read back in the next round
 	h.unlock()
 	if n, _ := h.Members.Get(to.Node); err == nil && n.Holder == to {
-		c, cancel := context.WithTimeout(ctx, peerTimeout)
+		c, cancel := context.WithTimeout(ctx, PeerTimeout)
 		defer cancel()
 		_ = h.Peers.Handover(c, n, lease.Handover{Record: a.Record}) // only a hint: the table holds it
 	}
@@ -181,7 +181,7 @@
 		if n.Holder != to {
 			return nil
 		}
-		c, cancel := context.WithTimeout(ctx, peerTimeout)
+		c, cancel := context.WithTimeout(ctx, PeerTimeout)
 		err := h.Peers.Handover(c, n, x)
 		cancel()
 		if err == nil {
--- a/io/control/homes_peers.go
+++ b/io/control/homes_peers.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
@@ -65,7 +65,7 @@
 
 // ask sends one promise ask and reports whether the deputy answered.
 func (h *Homes) ask(ctx context.Context, n member.Node, a lease.PromiseAsk) bool {
-	c, cancel := context.WithTimeout(ctx, peerTimeout)
+	c, cancel := context.WithTimeout(ctx, PeerTimeout)
 	defer cancel()
 	h.mu.Lock()
 	sent := h.now()
@@ -132,7 +132,7 @@
 	if n.Holder != x.Record.Deputy {
 		return
 	}
-	c, cancel := context.WithTimeout(ctx, peerTimeout)
+	c, cancel := context.WithTimeout(ctx, PeerTimeout)
 	defer cancel()
 	if h.Peers.Handover(c, n, x) != nil {
 		return
@@ -186,7 +186,7 @@
 		slots <- struct{}{}
 		w.Go(func() {
 			defer func() { <-slots }()
-			c, cancel := context.WithTimeout(ctx, peerTimeout)
+			c, cancel := context.WithTimeout(ctx, PeerTimeout)
 			defer cancel()
 			r, err := h.Peers.Held(c, n, g)
 			mu.Lock()
--- a/io/control/homes_table.go
+++ b/io/control/homes_table.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
@@ -96,7 +96,7 @@
 	if len(q.Keys) == 0 {
 		return nil
 	}
-	c, cancel := context.WithTimeout(ctx, tableTimeout)
+	c, cancel := context.WithTimeout(ctx, TableTimeout)
 	r, err := h.Table.Read(c, q)
 	cancel()
 	h.mu.Lock()
@@ -284,7 +284,7 @@
 
 // transact sends one transaction and notes the health of the table.
 func (h *Homes) transact(ctx context.Context, t store.Tx) error {
-	c, cancel := context.WithTimeout(ctx, tableTimeout)
+	c, cancel := context.WithTimeout(ctx, TableTimeout)
 	defer cancel()
 	_, err := h.Table.Transact(c, t)
 	var k *store.ConflictError
--- a/io/control/homes_take.go
+++ b/io/control/homes_take.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
@@ -218,7 +218,7 @@
 		slots <- struct{}{}
 		w.Go(func() {
 			defer func() { <-slots }()
-			c, cancel := context.WithTimeout(ctx, peerTimeout)
+			c, cancel := context.WithTimeout(ctx, PeerTimeout)
 			defer cancel()
 			err := f(c, n)
 			mu.Lock()
@@ -232,7 +232,7 @@
 
 // readNodes brings the table of nodes up to date.
 func (h *Homes) readNodes(ctx context.Context) bool {
-	c, cancel := context.WithTimeout(ctx, tableTimeout)
+	c, cancel := context.WithTimeout(ctx, TableTimeout)
 	defer cancel()
 	since := h.Members.sequence()
 	r, err := h.Table.Read(c, store.Query{Prefixes: []string{lease.NodePrefix}, Since: since})
--- a/io/control/members.go
+++ b/io/control/members.go
@@ -1,9 +1,9 @@
-// Package node runs the parts of a node: homes, the watch of table and peers, orders
-// and the planned stop.
+// Package control keeps what a node knows of its fleet: the nodes, the homes of groups, the
+// configuration and the orders to servers. It follows the table and the other nodes.
 //
 // Locks are taken in this order: configuration, membership, homes. No lock is held
-// during I/O or while a function field is called.
-package node
+// during I/O or while a function field is called. This file defines the table of nodes.
+package control
 
 import (
 	"context"
--- a/io/control/orders.go
+++ b/io/control/orders.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
@@ -157,7 +157,7 @@
 }
 
 func (o *Orders) slot(ctx context.Context, perMinute int) (time.Time, error) {
-	c, cancel := context.WithTimeout(ctx, tableTimeout)
+	c, cancel := context.WithTimeout(ctx, TableTimeout)
 	defer cancel()
 	r, err := o.Table.Read(c, store.Query{Keys: []string{order.SlotKey}})
 	if err != nil {
--- a/io/control/watch.go
+++ b/io/control/watch.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
@@ -179,7 +179,7 @@
 	if full {
 		q.Since = 0
 	}
-	c, cancel := context.WithTimeout(ctx, tableTimeout)
+	c, cancel := context.WithTimeout(ctx, TableTimeout)
 	r, err := w.Table.Read(c, q)
 	cancel()
 	if ctx.Err() != nil {
--- a/io/control/watch_peers.go
+++ b/io/control/watch_peers.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
@@ -39,7 +39,7 @@
 	if w.read(ctx) == nil && w.State().Version > before {
 		return
 	}
-	c, cancel := context.WithTimeout(ctx, peerTimeout)
+	c, cancel := context.WithTimeout(ctx, PeerTimeout)
 	defer cancel()
 	a, err := w.FetchConfig(c, p)
 	if err != nil || len(a.Head) == 0 {
@@ -128,7 +128,7 @@
 
 // fetchStart asks one address once.
 func (w *Watch) fetchStart(ctx context.Context, address string) (a ConfigAnswer, version uint64, err error) {
-	c, cancel := context.WithTimeout(ctx, peerTimeout)
+	c, cancel := context.WithTimeout(ctx, PeerTimeout)
 	defer cancel()
 	a, err = w.FetchConfig(c, member.Node{Peer: address})
 	if err != nil || len(a.Head) == 0 {
@@ -180,7 +180,7 @@
 	w.buried = time.Now()
 	b := w.Members.buried()
 	for _, c := range b[:min(len(b), buryAtOnce)] {
-		t, cancel := context.WithTimeout(ctx, tableTimeout)
+		t, cancel := context.WithTimeout(ctx, TableTimeout)
 		_, _ = w.Table.Transact(t, member.Leave(c.Key[len(lease.NodePrefix):], c.Version))
 		cancel()
 	}
--- a/io/control/watch_test.go
+++ b/io/control/watch_test.go
@@ -1,4 +1,4 @@
-package node
+package control
 
 import (
 	"context"
--- a/io/demo/fleet_faults_test.go
+++ b/io/demo/fleet_faults_test.go
@@ -15,7 +15,7 @@
 	"bergamotspring/core/fleet"
 	"bergamotspring/core/lease"
 	"bergamotspring/core/record"
-	"bergamotspring/io/node"
+	"bergamotspring/io/control"
 )
 
 var (
@@ -260,4 +260,4 @@
 	return l
 }
 
-func runtimeClock(string) func() lease.Reading { return node.RuntimeClock() }
+func runtimeClock(string) func() lease.Reading { return control.RuntimeClock() }
--- a/io/demo/fleet_scenarios_test.go
+++ b/io/demo/fleet_scenarios_test.go
@@ -13,7 +13,7 @@
 	"bergamotspring/core/fleet"
 	"bergamotspring/core/lease"
 	"bergamotspring/core/record"
-	"bergamotspring/io/node"
+	"bergamotspring/io/control"
 	"bergamotspring/io/operator"
 	"bergamotspring/io/standin"
 )
@@ -104,7 +104,7 @@
 func TestFleetClockDrift(t *testing.T) {
 	drift := func(f *Fleet) {
 		f.ClockOf = func(name string) func() lease.Reading {
-			c, k := node.RuntimeClock(), 0.95
+			c, k := control.RuntimeClock(), 0.95
 			if strings.ContainsAny(name, "135") {
 				k = 1.05
 			}
--- a/io/node/lifecycle.go
+++ b/io/node/lifecycle.go
@@ -15,6 +15,7 @@
 	"bergamotspring/core/lease"
 	"bergamotspring/core/member"
 	"bergamotspring/core/store"
+	"bergamotspring/io/control"
 	"bergamotspring/io/wait"
 )
 
@@ -101,7 +102,7 @@
 }
 
 func (n *Node) joinOnce(ctx context.Context) error {
-	c, cancel := context.WithTimeout(ctx, tableTimeout)
+	c, cancel := context.WithTimeout(ctx, control.TableTimeout)
 	defer cancel()
 	k := lease.NodeKey(n.Settings.ID)
 	r, err := n.table.Read(c, store.Query{Keys: []string{k}})
--- a/io/node/links.go
+++ b/io/node/links.go
@@ -12,6 +12,7 @@
 	"bergamotspring/core/lease"
 	"bergamotspring/core/member"
 	"bergamotspring/core/route"
+	"bergamotspring/io/control"
 	"bergamotspring/io/peer"
 	"bergamotspring/io/wait"
 )
@@ -184,7 +185,7 @@
 	if !ok || n.Holder == l.Self {
 		return l.OnAsk(l.Self, q)
 	}
-	c, cancel := context.WithTimeout(ctx, peerTimeout)
+	c, cancel := context.WithTimeout(ctx, control.PeerTimeout)
 	defer cancel()
 	return l.Ask(c, n, q)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -1,8 +1,8 @@
+// Package node runs a node: it assembles the parts, answers operators, and starts and stops.
+//
+// This file wires the parts to each other. They know each other only by function fields.
 package node
 
-// This file assembles a node from its parts and wires them to each other. The parts
-// know each other only by function fields.
-
 import (
 	"context"
 	"crypto/rand"
@@ -23,16 +23,14 @@
 	"bergamotspring/core/lease"
 	"bergamotspring/core/limit"
 	"bergamotspring/core/member"
-	"bergamotspring/core/order"
 	"bergamotspring/core/record"
 	"bergamotspring/core/route"
-	"bergamotspring/core/stage"
 	"bergamotspring/core/store"
 	"bergamotspring/core/suspect"
 	"bergamotspring/io/backend"
 	"bergamotspring/io/caller"
+	"bergamotspring/io/control"
 	"bergamotspring/io/metrics"
-	"bergamotspring/io/operator"
 	"bergamotspring/io/peer"
 	"bergamotspring/io/permit"
 	"bergamotspring/io/platform"
@@ -66,14 +64,14 @@
 	platform *platform.Client
 	list     *platform.Client
 	mesh     *peer.Mesh
-	members  *Members
-	health   *Health
-	homes    *Homes
-	watch    *Watch
-	gossip   *Gossip
+	members  *control.Members
+	health   *control.Health
+	homes    *control.Homes
+	watch    *control.Watch
+	gossip   *control.Gossip
 	grants   *permit.Grants
 	links    *Links
-	orders   *Orders
+	orders   *control.Orders
 	permits  *permit.Permits
 	claims   *platform.Claims
 	relay    *platform.Relay
@@ -173,7 +171,7 @@
 		n.identify()
 	}
 	if n.Clock == nil {
-		n.Clock = SystemClock()
+		n.Clock = control.SystemClock()
 	}
 	s := n.Settings
 	n.self = member.Node{
@@ -184,7 +182,7 @@
 	n.platform = &platform.Client{Table: s.TableURL, Token: s.TableToken.Reveal(), Dial: n.Dial}
 	n.list = &platform.Client{List: s.VMsURL, Token: s.VMsToken.Reveal(), Dial: n.Dial}
 	n.table = n.platform.Store()
-	n.health, n.members = &Health{}, &Members{}
+	n.health, n.members = &control.Health{}, &control.Members{}
 	if err := n.buildControl(); err != nil {
 		return err
 	}
@@ -218,10 +216,10 @@
 		OnHello:   n.members.Hello,
 		OnRefused: func(_ string, h lease.Holder) { n.members.Refused(h, time.Duration(time.Now().UnixNano())) },
 	}
-	n.homes = &Homes{
+	n.homes = &control.Homes{
 		Self: n.self, Table: n.table, Members: n.members, Health: n.health, Groups: n.groups,
 		Clock: n.Clock, Seed: n.Seed, Record: n.Record, MaxCall: n.maxCall,
-		Peers: Peers{
+		Peers: control.Peers{
 			Promise: n.mesh.Promise, Handover: n.mesh.Handover, Held: n.mesh.Held,
 			SendDigest: n.mesh.SendDigest, FetchConfig: n.fetchConfig,
 		},
@@ -232,13 +230,13 @@
 		Spread:     func(r lease.Record) { n.gossip.Home(r) },
 		Superseded: func() { n.alarms.raise("superseded", errSuperseded) },
 	}
-	n.watch = &Watch{
+	n.watch = &control.Watch{
 		Self: n.self.Holder, Table: n.table, Members: n.members, Homes: n.homes, Health: n.health,
 		VMs: n.vms, FetchConfig: n.fetchConfig, StartPeers: s.SeedPeers, Decode: schema.Unpack,
 		Install: n.install, Alarm: func(err error) { n.alarms.raise("configuration", err) },
 		Seed: n.Seed, Record: n.Record,
 	}
-	n.gossip = &Gossip{
+	n.gossip = &control.Gossip{
 		Self: n.self.Holder, Members: n.members, Watch: n.watch, Homes: n.homes,
 		Send: n.mesh.SendDigest, Suspects: n.heardSuspects, Seed: n.Seed,
 	}
@@ -264,7 +262,7 @@
 		Self: n.self.Holder, Region: n.self.Region, Authority: n.homes.Authority,
 		Home: n.homeNode, Ask: n.mesh.LinkAllowance,
 	}
-	n.orders = &Orders{Table: n.table, Homes: n.homes, View: n.view.Load, Send: n.order, Running: n.grants.Running}
+	n.orders = &control.Orders{Table: n.table, Homes: n.homes, View: n.view.Load, Send: n.order, Running: n.grants.Running}
 	n.router = &route.Router{
 		Domain: n.self.Domain, Region: n.self.Region, Now: time.Now, Seed: n.Seed,
 		Unconfirmed: n.unconfirmed, LinkLeft: n.links.Left, LinkWant: n.links.Want,
@@ -324,106 +322,6 @@
 	return m
 }
 
-// order sends one order to an engine.
-func (n *Node) order(ctx context.Context, o order.Order) error {
-	s := o.State
-	err := n.backend.Order(ctx, o.Address, backend.Order{Fencing: o.Fencing, Model: s.Model, Adapter: s.Adapter, Version: s.Version, Role: s.Role})
-	if err != nil {
-		n.alarms.raise(operator.AlarmOrder, &OrderError{Server: o.Server, Cause: err})
-		return err
-	}
-	n.Log.Info("order taken", zap.String("server", o.Server), zap.String("model", s.Model), zap.String("version", s.Version), zap.Uint64("fencing", o.Fencing))
-	return nil
-}
-
-// OrderError reports an order that a server did not take.
-type OrderError struct {
-	Server string
-	Cause  error
-}
-
-func (e *OrderError) Error() string { return "server " + e.Server + ": " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *OrderError) Unwrap() error { return e.Cause }
-
-func (n *Node) maxCall() time.Duration {
-	if v := n.view.Load(); v != nil {
-		return v.Declaration.Defaults.MaxCall
-	}
-	return 0
-}
-
-func (n *Node) homeNode(g fleet.GroupID) (member.Node, bool) {
-	r := n.homes.HomeOf(g)
-	if r.Epoch == 0 {
-		return member.Node{}, false
-	}
-	x, v := n.members.Get(r.Home.Node)
-	return x, v > 0 && x.Holder == r.Home
-}
-
-func (n *Node) unconfirmed() time.Duration {
-	if n.watch.State().Standing == member.Isolated {
-		return member.IsolatedAfter
-	}
-	return 0
-}
-
-func (n *Node) fetchConfig(ctx context.Context, to member.Node) (ConfigAnswer, error) {
-	a, err := n.mesh.FetchConfig(ctx, to, n.watch.State().Version)
-	return ConfigAnswer{Head: a.Head, Confirmed: a.Confirmed}, err
-}
-
-func (n *Node) configAnswer(have uint64) peer.ConfigAnswer {
-	a, v := n.watch.Answer(), n.watch.State().Version
-	r := peer.ConfigAnswer{Version: v, Confirmed: a.Confirmed}
-	if v > have {
-		r.Head = a.Head
-	}
-	return r
-}
-
-func (n *Node) vms(ctx context.Context) (map[string]member.VMState, error) {
-	l, err := n.list.VMs(ctx)
-	if err != nil {
-		return nil, err
-	}
-	m := make(map[string]member.VMState, len(l))
-	for _, x := range l {
-		m[x.Name] = member.VMState(x.State)
-	}
-	return m, nil
-}
-
-// observe measures and keeps the story of a request, and charges the bytes that it
-// sent to and received from other regions.
-func (n *Node) observe(s *stage.Story) {
-	n.metrics.Observe(s)
-	n.stories.Add(s)
-	v := n.view.Load()
-	if v == nil {
-		return
-	}
-	for _, p := range s.Stages {
-		for _, a := range p.Attempts {
-			if a.Cross > 0 {
-				n.links.Settle(v.Regions[a.Group.Domain], int64(a.Cross))
-			}
-		}
-	}
-}
-
-func (n *Node) close() {
-	n.caller.Drain() // ends the workers if a part failed before the drain
-	n.backend.Close()
-	n.mesh.Close()
-	n.platform.Close()
-	n.list.Close()
-	_ = n.metrics.Close()
-	_ = n.Log.Sync() // standard error cannot always be synced
-}
-
 // serveHTTP adds an HTTP server to g.
 func (n *Node) serveHTTP(g *run.Group, address string, s *http.Server) error {
 	l, err := n.listen(address)
--- a/io/node/operate.go
+++ b/io/node/operate.go
@@ -10,6 +10,7 @@
 	"bergamotspring/core/fleet"
 	"bergamotspring/core/member"
 	"bergamotspring/core/store"
+	"bergamotspring/io/control"
 	"bergamotspring/io/operator"
 	"bergamotspring/schema"
 )
@@ -50,7 +51,7 @@
 // applyError says whether a failed apply may have taken effect.
 func applyError(err error) error {
 	var c *member.ConflictError
-	var u *ApplyUnknownError
+	var u *control.ApplyUnknownError
 	var i *member.InvalidApplyError
 	switch {
 	case errors.As(err, &c):
--- a/io/node/status.go
+++ b/io/node/status.go
@@ -13,6 +13,7 @@
 	"bergamotspring/core/fleet"
 	"bergamotspring/core/limit"
 	"bergamotspring/core/member"
+	"bergamotspring/io/control"
 	"bergamotspring/io/operator"
 	"bergamotspring/io/peer"
 )
@@ -124,7 +125,7 @@
 		w.Go(func() {
 			wide <- struct{}{}
 			defer func() { <-wide }()
-			c, cancel := context.WithTimeout(ctx, peerTimeout)
+			c, cancel := context.WithTimeout(ctx, control.PeerTimeout)
 			defer cancel()
 			s, err := n.mesh.State(c, x, true)
 			mu.Lock()
--- a/io/permit/permits.go
+++ b/io/permit/permits.go
@@ -1,4 +1,5 @@
-// Package node runs the parts of a node.
+// Package permit holds how a node gets permits for calls, and how the homes in this process
+// grant them.
 //
 // This file defines how a node gets permits: from the home of a group in this process
 // or, over peer links, in another one.
