--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -536,3 +536,27 @@
 	fmt.Println(h.Take().Answers[0].Server.ID)
 	// Output: model-1
 }
+
+// BenchmarkBacklog measures a tick of a home with a long queue for ten servers.
+func BenchmarkBacklog(b *testing.B) {
+	x := newBench(&testing.T{})
+	x.config.Services["encode"].Pieces.RoomBytes = 1 << 40
+	for i := range 10 {
+		x.servers = append(x.servers, &relay.Server{ID: fmt.Sprint("encode-", i), Service: "encode", Address: fmt.Sprint(i, ":1"), Domain: "a", Region: "r"})
+	}
+	for i := range 200 {
+		x.ask(fmt.Sprint(i), 8, 1000, func(a *Ask) { a.Left, a.Goal = time.Hour, time.Hour })
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		// Ten servers end their calls without having made anything.
+		for range len(x.calls) {
+			c := x.calls[0]
+			x.calls = x.calls[1:]
+			x.home.Called(c.Number, CallRejected, nil)
+		}
+		x.now = x.now.Add(time.Second)
+		x.home.Tick()
+		x.take()
+	}
+}
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -184,27 +184,41 @@
 			continue
 		}
 		q.lapse(s.Pieces, h.Now())
-		for _, m := range h.usable(q, s.Pieces) {
-			if len(q.waiting) == 0 {
-				break
-			}
-			if l := h.batch(q, m, s.Pieces); len(l) > 0 {
-				h.send(q, m, l, s.Pieces)
-			}
-		}
+		h.fill(q, s.Pieces)
 	}
 	h.free()
 }
 
-// batch takes the pieces for the next call of a server out of the queue, the most
-// urgent first, as far as its room goes. The pieces of one stage of a request stay
+// fill fills calls of all servers of a pool that can take one. It also notes servers that
+// are new or have started anew.
+func (h *Home) fill(q *pool, w *relay.PieceWork) {
+	l := h.usable(q, w)
+	if len(l) == 0 || len(q.waiting) == 0 {
+		return
+	}
+	groups := h.groups(q)
+	near := map[string]bool{} // failure domains with a server that does not rest
+	for _, m := range h.workers(q) {
+		if !h.Now().Before(m.until) {
+			near[m.server.Domain] = true
+		}
+	}
+	for _, m := range l {
+		if b := h.batch(q, m, w, h.fitting(m, groups, near)); len(b) > 0 {
+			h.send(q, m, b, w)
+		}
+	}
+}
+
+// batch takes the pieces for the next call of a server out of the queue, from groups in
+// their order, as far as its room goes. The pieces of one stage of a request stay
 // together where they fit into a call: results take room until all of them exist.
-func (h *Home) batch(q *pool, m *worker, w *relay.PieceWork) []*piece {
+func (h *Home) batch(q *pool, m *worker, w *relay.PieceWork, groups []*group) []*piece {
 	now := h.Now()
 	var taken []*piece
 	blocked := false // a more urgent group waits for room
 	room := m.room(w, now)
-	for _, g := range h.groups(q, m, now) {
+	for _, g := range groups {
 		n := len(g.pieces)
 		if len(taken)+n > w.Batch {
 			if len(taken) > 0 {
@@ -225,6 +239,7 @@
 			continue
 		}
 		taken = append(taken, g.pieces[:fit]...)
+		g.pieces = g.pieces[fit:]
 		room -= int64(fit) * b
 		blocked = blocked || fit < n
 	}
@@ -238,46 +253,61 @@
 type group struct {
 	pieces []*piece
 	order  order
+	moved  int64 // bytes that cross to another failure domain if they are made elsewhere
 }
 
-// groups returns what waits and may go to a server, the most urgent first.
-func (h *Home) groups(q *pool, m *worker, now time.Time) []*group {
+// groups returns what waits for a pool.
+func (h *Home) groups(q *pool) []*group {
+	now := h.Now()
 	of := map[*jobStage]*group{}
 	var l []*group
 	for _, p := range q.waiting {
-		if !h.fits(q, m, p, now) {
-			continue
-		}
 		g := of[p.stage]
 		if g == nil {
-			g = &group{order: h.order(p, now)}
-			if m.server.Domain != p.job.domain && p.moved() >= localBytes {
-				g.order.slack += awayCost
-			}
+			g = &group{order: h.order(p, now), moved: p.moved()}
 			of[p.stage] = g
 			l = append(l, g)
 		}
 		g.pieces = append(g.pieces, p)
 	}
-	slices.SortStableFunc(l, func(a, b *group) int { return a.order.compare(b.order) })
 	return l
 }
 
+// fitting returns the groups that may go to a server, the most urgent first.
+func (h *Home) fitting(m *worker, groups []*group, near map[string]bool) []*group {
+	type ranked struct {
+		*group
+		order order
+	}
+	var l []ranked
+	for _, g := range groups {
+		if len(g.pieces) == 0 || !h.fits(m, g.pieces[0], near) {
+			continue
+		}
+		x := ranked{group: g, order: g.order}
+		if m.server.Domain != g.pieces[0].job.domain && g.moved >= localBytes {
+			x.order.slack += awayCost
+		}
+		l = append(l, x)
+	}
+	slices.SortStableFunc(l, func(a, b ranked) int { return a.order.compare(b.order) })
+	r := make([]*group, 0, len(l))
+	for _, x := range l {
+		r = append(r, x.group)
+	}
+	return r
+}
+
 // fits reports whether a piece may go to a server: large results are made next to
 // their model server, unless no server there can make them soon.
-func (h *Home) fits(q *pool, m *worker, p *piece, now time.Time) bool {
+func (h *Home) fits(m *worker, p *piece, near map[string]bool) bool {
 	if !p.job.allows(m.server.Region) {
 		return false
 	}
 	if p.stage.ask.ResultBytes < localBytes || m.server.Domain == p.job.domain {
 		return true
 	}
-	if now.Sub(p.queued) >= spillAfter {
-		return true
-	}
-	return !slices.ContainsFunc(h.workers(q), func(o *worker) bool {
-		return o.server.Domain == p.job.domain && !now.Before(o.until)
-	})
+	return !near[p.job.domain] || h.Now().Sub(p.queued) >= spillAfter
 }
 
 // moved returns the bytes that cross to another failure domain if a piece is made away
