--- a/cmd/bergamotspring/main.go
+++ b/cmd/bergamotspring/main.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return "", []error{err}
 	}
+	if len(c.Routes) == 0 {
+		return "", []error{errors.New("names no routes")}
+	}
 	return fmt.Sprintf("version %d, %d routes, %d services, %d keys", c.Version, len(c.Routes), len(c.Services), len(c.Keys)), nil
 }
 
