--- a/io/edge/logging.go
+++ b/io/edge/logging.go
@@ -12,9 +12,10 @@
 	"sync/atomic"
 	"time"
 
-	"bergamotspring/io/wait"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"bergamotspring/io/wait"
 )
 
 const (
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -7,8 +7,9 @@
 	"net/http"
 	"time"
 
-	"bergamotspring/io/wait"
 	"go.uber.org/zap"
+
+	"bergamotspring/io/wait"
 )
 
 const (
