--- a/io/demo/controls.go
+++ b/io/demo/controls.go
@@ -17,6 +17,7 @@
 	"bergamotspring/core/record"
 	"bergamotspring/io/operator"
 	"bergamotspring/io/standin"
+	"bergamotspring/io/wait"
 	"bergamotspring/schema/setting"
 )
 
@@ -329,14 +330,7 @@
 // of a group by the record may grant its permits, and records it as home then.
 func (f *Fleet) WatchHomes(ctx context.Context, every time.Duration) {
 	v := fleet.NewView(f.Declaration, 1)
-	t := time.NewTicker(every)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	wait.Every(ctx, every, func() {
 		for _, s := range f.Nodes {
 			r := f.take(s.Name, false)
 			if r == nil {
@@ -346,7 +340,7 @@
 				f.watchHome(s.Name, r, g)
 			}
 		}
-	}
+	})
 }
 
 func (f *Fleet) watchHome(name string, r *running, g fleet.GroupID) {
