--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -31,8 +31,8 @@
 	limit := time.Now().Add(n.Settings.Grace - stopMargin)
 	n.stopping.Store(true)
 	n.Log.Info("stop", zap.Time("limit", limit))
+	n.home.leave() // before the store is asked, which may not answer
 	n.unregister(work)
-	n.home.leave()
 	wait.Sleep(work, stopAccepting)
 	c, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
