--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -384,16 +384,75 @@
 	})
 }
 
-// A silent server holds no caller beyond its time limit.
+// A silent server holds no caller beyond its time limit, nor beyond that of the route.
 func TestTimeLimit(t *testing.T) {
+	for _, c := range []struct {
+		name, caller string
+		route        int // ms
+	}{
+		{"the caller's", "300", 4000},
+		{"the route's", "4000", 300},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, func(w *world) {
+				w.configure(2, func(f map[string]any) {
+					for _, r := range f["route-table"].([]any) {
+						r.(map[string]any)["timeout-ms"] = c.route
+					}
+				})
+				time.Sleep(500 * time.Millisecond)
+				w.servers["plain-a"].Next(outside.FaultMute)
+				w.fault(outside.FaultMute)
+				for _, r := range []reply{
+					w.ask("a1", http.MethodPost, "/file/x", "gone", "X-Bergamotspring-Deadline-Ms", c.caller),
+					w.ask("a1", http.MethodPost, "/once/x", "held", append(model("held"), "X-Bergamotspring-Chunks", "0,0", "X-Bergamotspring-Deadline-Ms", c.caller)...),
+				} {
+					if r.status != 504 {
+						t.Errorf("got %d, want 504 at the time limit", r.status)
+					}
+					if r.took > 320*time.Millisecond {
+						t.Errorf("answered after %v, want within the time limit", r.took)
+					}
+				}
+			})
+		})
+	}
+}
+
+// A node is ready once it knows a configuration, and not any more as soon as it stops, while
+// it goes on serving.
+func TestReadiness(t *testing.T) {
 	play(t, func(w *world) {
-		w.servers["plain-a"].Next(outside.FaultMute)
-		r := w.ask("a1", http.MethodPost, "/file/x", "gone", "X-Bergamotspring-Deadline-Ms", "300")
-		if r.status != 504 {
-			t.Errorf("got %d, want 504 at the time limit", r.status)
+		ready := func(node string) int {
+			x := &http.Transport{DialContext: w.net.Dialer("10.8.0.1")}
+			defer x.CloseIdleConnections()
+			r, err := (&http.Client{Transport: x}).Get("http://" + w.nodes[node].node.Settings.Readiness + "/readyz")
+			if err != nil {
+				return 0
+			}
+			_ = r.Body.Close()
+			return r.StatusCode
+		}
+		if got := ready("a1"); got != 200 {
+			t.Errorf("a node at work: got %d, want 200", got)
+		}
+		w.store.Refuse("10.0.0.9", true)
+		w.net.SetCut("10.0.0.9", "10.0.0.1", true)
+		w.start("a9", "10.0.0.9")
+		time.Sleep(200 * time.Millisecond)
+		if got := ready("a9"); got != 503 {
+			t.Errorf("a node without a configuration: got %d, want 503", got)
+		}
+		if r := w.ask("a9", http.MethodGet, "/read/x", "early"); r.status != 503 || r.header.Get("Retry-After") == "" {
+			t.Errorf("a request to it: got %d, want a refusal with a time to come back", r.status)
+		}
+		w.nodes["b1"].stop()
+		time.Sleep(10 * time.Millisecond)
+		if got := ready("b1"); got != 503 {
+			t.Errorf("a node that stops: got %d, want 503", got)
 		}
-		if r.took > 320*time.Millisecond {
-			t.Errorf("answered after %v, want within the time limit", r.took)
+		if r := w.ask("b1", http.MethodGet, "/read/x", "last"); r.status != 200 {
+			t.Errorf("a request to it: got %d, want 200", r.status)
 		}
 	})
 }
