--- a/io/edge/faults_test.go
+++ b/io/edge/faults_test.go
@@ -207,3 +207,38 @@
 		}
 	})
 }
+
+// All open connections go silent for good, without a reset, while new ones work: requests are
+// soon served again, and a new configuration and a leaving server are learned within their bounds.
+func TestSilentConnections(t *testing.T) {
+	play(t, func(w *world) {
+		for _, n := range []string{"a1", "b1", "c1"} {
+			w.ask(n, http.MethodGet, "/read/x", "warm"+n) // connections to servers are open
+			w.draft(n, "/draft/x", "dwarm"+n)
+		}
+		w.net.Silence(func(string, string) bool { return true })
+		w.configure(2, func(c map[string]any) {
+			c["tenants"] = []any{map[string]any{"name": "org", "api-keys": []string{"new"}}}
+		})
+		w.register(w.servers["plain-a"], "plain", "a", "draining", 0)
+		time.Sleep(4 * time.Second) // what the platform gives machines to be in touch again
+		before := len(w.servers["plain-a"].Runs())
+		for _, n := range []string{"a1", "b1", "c1"} {
+			for i := range 3 {
+				id := fmt.Sprint(n, i)
+				if r := w.ask(n, http.MethodGet, "/read/x", "r"+id, "Api-Key", "new"); r.status != 200 || r.took > time.Second {
+					t.Errorf("read %d at %s: got %d after %v", i, n, r.status, r.took)
+				}
+				if r := w.draft(n, "/draft/x", "d"+id, "Api-Key", "new"); r.status != 200 || r.body != events(6) {
+					t.Errorf("draft %d at %s: got %d %v", i, n, r.status, r.err)
+				}
+			}
+			if r := w.ask(n, http.MethodGet, "/read/x", "old"+n); r.status != 401 {
+				t.Errorf("old key at %s: got %d, want 401", n, r.status)
+			}
+		}
+		if got := len(w.servers["plain-a"].Runs()); got != before {
+			t.Errorf("the leaving server ran %d more requests", got-before)
+		}
+	})
+}
