Name io/platform for what it is: io/tables

Two packages were called platform: the adapter to the users' platform, and the client of the table service and VM list that the product's own interface expects. The second is io/tables now; nothing else changes.

--- a/io/node/claims_test.go
+++ b/io/node/claims_test.go
@@ -10,8 +10,8 @@
 	"bergamotspring/core/lease"
 	"bergamotspring/core/member"
 	"bergamotspring/io/peer"
-	"bergamotspring/io/platform"
 	"bergamotspring/io/standin"
+	"bergamotspring/io/tables"
 )
 
 // Guards against claims, answers and refusals that change on their way to a writer,
@@ -20,7 +20,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, b := &standin.Network{}, &standin.Table{}
 		writer := member.Node{Holder: lease.Holder{Node: "w"}, Peer: "w:1"}
-		c := &platform.Claims{Table: b.Direct("w"), Node: "w"}
+		c := &tables.Claims{Table: b.Direct("w"), Node: "w"}
 		w := &peer.Mesh{
 			Self: writer.Holder, Key: []byte("k"),
 			Listen: func(_, at string) (net.Listener, error) { return n.Listen(at) },
@@ -30,8 +30,8 @@
 			t.Fatal(err)
 		}
 		m := &peer.Mesh{Self: lease.Holder{Node: "a"}, Key: []byte("k"), Dial: n.Dialer("a")}
-		r := &platform.Relay{
-			Self: m.Self, Claims: &platform.Claims{Table: b.Direct("a"), Node: "a"},
+		r := &tables.Relay{
+			Self: m.Self, Claims: &tables.Claims{Table: b.Direct("a"), Node: "a"},
 			Nodes: func() []member.Node { return []member.Node{writer} },
 			Claim: m.Claim, End: m.EndClaim,
 		}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -33,7 +33,7 @@
 	"bergamotspring/io/metrics"
 	"bergamotspring/io/peer"
 	"bergamotspring/io/permit"
-	"bergamotspring/io/platform"
+	"bergamotspring/io/tables"
 	"bergamotspring/schema"
 	"bergamotspring/schema/setting"
 )
@@ -61,8 +61,8 @@
 	leaving  atomic.Bool
 	self     member.Node
 	table    store.Table
-	platform *platform.Client
-	list     *platform.Client
+	platform *tables.Client
+	list     *tables.Client
 	mesh     *peer.Mesh
 	members  *control.Members
 	health   *control.Health
@@ -73,8 +73,8 @@
 	links    *Links
 	orders   *control.Orders
 	permits  *permit.Permits
-	claims   *platform.Claims
-	relay    *platform.Relay
+	claims   *tables.Claims
+	relay    *tables.Relay
 	suspects *suspect.Table
 	router   *route.Router
 	retries  permit.Retries
@@ -179,8 +179,8 @@
 		Region: s.Region, Peer: s.PeerAdvertise, Operator: s.OperatorAdvertise,
 	}
 	n.Log = n.Log.With(zap.String("node", s.ID), zap.String("failure_domain", s.Domain))
-	n.platform = &platform.Client{Table: s.TableURL, Token: s.TableToken.Reveal(), Dial: n.Dial}
-	n.list = &platform.Client{List: s.VMsURL, Token: s.VMsToken.Reveal(), Dial: n.Dial}
+	n.platform = &tables.Client{Table: s.TableURL, Token: s.TableToken.Reveal(), Dial: n.Dial}
+	n.list = &tables.Client{List: s.VMsURL, Token: s.VMsToken.Reveal(), Dial: n.Dial}
 	n.table = n.platform.Store()
 	n.health, n.members = &control.Health{}, &control.Members{}
 	if err := n.buildControl(); err != nil {
@@ -267,11 +267,11 @@
 		Domain: n.self.Domain, Region: n.self.Region, Now: time.Now, Seed: n.Seed,
 		Unconfirmed: n.unconfirmed, LinkLeft: n.links.Left, LinkWant: n.links.Want,
 	}
-	n.claims = &platform.Claims{
+	n.claims = &tables.Claims{
 		Table: n.table, Node: peer.NodeName(n.self.Holder),
 		Floor: func() uint64 { return n.watch.State().Sequence },
 	}
-	n.relay = &platform.Relay{
+	n.relay = &tables.Relay{
 		Self: n.self.Holder, Claims: n.claims, Nodes: n.claimWriters, Writers: writersInRegion,
 		Claim: n.mesh.Claim, End: n.mesh.EndClaim,
 	}
--- a/io/platform/claimbatch.go
+++ b/io/tables/claimbatch.go
@@ -1,4 +1,4 @@
-package platform
+package tables
 
 // This file defines how a group of claims is written and decided, and how the writer
 // notices that the table is down.
--- a/io/platform/claimrecord.go
+++ b/io/tables/claimrecord.go
@@ -1,4 +1,4 @@
-package platform
+package tables
 
 // This file defines how answers are recorded and how claims of calls that were never
 // sent are freed.
--- a/io/platform/claims.go
+++ b/io/tables/claims.go
@@ -1,4 +1,4 @@
-package platform
+package tables
 
 // This file defines the grouped writer of claims: claims that arrive within a short
 // window share one transaction, and so do the records of answers. The state of each
--- a/io/platform/client.go
+++ b/io/tables/client.go
@@ -1,9 +1,9 @@
-// Package platform holds the clients of the platform's table service and VM list,
+// Package tables holds the clients of the product's own table service and VM list,
 // and the grouped writer of claims.
 //
 // This file defines the exchange that all requests share: JSON over HTTP/1.1,
 // with the bound within which a silent connection is found.
-package platform
+package tables
 
 import (
 	"bytes"
--- a/io/platform/relay.go
+++ b/io/tables/relay.go
@@ -1,4 +1,4 @@
-package platform
+package tables
 
 // This file defines how nodes pass claims to a few writers. With many nodes, claims
 // that arrive at one node within a window are too few to share transactions.
--- a/io/platform/table.go
+++ b/io/tables/table.go
@@ -1,4 +1,4 @@
-package platform
+package tables
 
 // This file defines the client of the table service.
 
