--- a/io/edge/world_test.go
+++ b/io/edge/world_test.go
@@ -51,6 +51,7 @@
 	stop    context.CancelFunc
 	done    chan error
 	dead    atomic.Bool // it opens no connections any more
+	mu      sync.Mutex
 	listens []net.Listener
 }
 
@@ -206,7 +207,9 @@
 	r.node = &Node{Settings: s, Log: log.With(zap.String("node", name)), Dial: r.dial(w.net.Dialer(ip)), Listen: func(_, address string) (net.Listener, error) {
 		l, err := w.net.Listen(address)
 		if err == nil {
+			r.mu.Lock()
 			r.listens = append(r.listens, l)
+			r.mu.Unlock()
 		}
 		return l, err
 	}}
@@ -224,9 +227,11 @@
 func (w *world) restart(name string) {
 	r := w.nodes[name]
 	r.dead.Store(true)
+	r.mu.Lock()
 	for _, l := range r.listens {
 		_ = l.Close()
 	}
+	r.mu.Unlock()
 	w.killed = append(w.killed, r)
 	ip := r.node.Settings.IP
 	w.net.SetHost(ip, standin.HostUp)
