Choose near servers, prompt groups and a round's servers in one place each

Found reading the whole change again; behaviour stays as it is. - nearest serves pool.workers and Home.candidates, which each split servers into near and far. - Ask.group serves the order of model servers and the comparison of service. - A round lists a pool's servers once instead of twice. - What the log compares a server's entry with is what the stock held (Stock.Put returns it); the second table of known servers goes.

--- a/core/place/engine.go
+++ b/core/place/engine.go
@@ -99,25 +99,16 @@
 		return nil
 	}
 	now := h.Now()
-	var near, far []*engine
+	var l []*engine
 	for _, s := range v.Servers[j.ask.Service] {
 		if !j.allows(s.Region) {
 			continue
 		}
-		e := h.engine(s)
-		if !e.usable(now, v, j) {
-			continue
-		}
-		if s.Region == h.Region {
-			near = append(near, e)
-		} else {
-			far = append(far, e)
+		if e := h.engine(s); e.usable(now, v, j) {
+			l = append(l, e)
 		}
 	}
-	if len(near) > 0 {
-		return near
-	}
-	return far
+	return nearest(l, func(e *engine) bool { return e.server.Region == h.Region })
 }
 
 // choice is a model server for a job, nil if there is none, and what it was chosen from.
@@ -143,7 +134,7 @@
 	slices.SortFunc(l, func(a, b *engine) int {
 		return cmp.Or(
 			cmp.Compare(j.away(a), j.away(b)),
-			cmp.Compare(weight(j.group(), b.server.ID), weight(j.group(), a.server.ID)),
+			cmp.Compare(weight(j.ask.group(), b.server.ID), weight(j.ask.group(), a.server.ID)),
 		)
 	})
 	for _, e := range l {
@@ -175,10 +166,10 @@
 	return len(j.ask.Regions) == 0 || slices.Contains(j.ask.Regions, region)
 }
 
-// group returns the hash of all shared parts of a job's prompt, 0: none.
-func (j *job) group() uint64 {
-	if n := len(j.ask.Parts); n > 0 {
-		return j.ask.Parts[n-1].Hash
+// group returns the hash of all shared parts of a prompt, 0: none.
+func (a *Ask) group() uint64 {
+	if n := len(a.Parts); n > 0 {
+		return a.Parts[n-1].Hash
 	}
 	return 0
 }
--- a/core/place/fair.go
+++ b/core/place/fair.go
@@ -87,8 +87,8 @@
 // owners returns whom a request counts for.
 func (a *Ask) owners() []string {
 	l := []string{"route " + a.Route, "organisation " + a.Organisation}
-	if n := len(a.Parts); n > 0 {
-		l = append(l, "prompt "+strconv.FormatUint(a.Parts[n-1].Hash, 16))
+	if g := a.group(); g != 0 {
+		l = append(l, "prompt "+strconv.FormatUint(g, 16))
 	}
 	return l
 }
--- a/core/place/pool.go
+++ b/core/place/pool.go
@@ -130,11 +130,10 @@
 	return m.pace
 }
 
-// usable returns the servers of a pool that may get a call now, the best first.
-func (h *Home) usable(q *pool, w *relay.PieceWork) []*worker {
-	now := h.Now()
+// usable returns those of some servers that may get a call now, the best first.
+func usable(all []*worker, w *relay.PieceWork, now time.Time) []*worker {
 	var l []*worker
-	for _, m := range h.workers(q) {
+	for _, m := range all {
 		if m.calls < w.Calls && !m.looking && !now.Before(m.until) {
 			l = append(l, m)
 		}
@@ -148,7 +147,7 @@
 // workers returns the servers of a pool that the home uses: those of its region, or
 // of others if there is none.
 func (h *Home) workers(q *pool) []*worker {
-	var near, far []*worker
+	var l []*worker
 	for _, s := range h.View().Servers[q.service] {
 		m := q.workers[s.ID]
 		if m == nil {
@@ -160,16 +159,17 @@
 			m = h.lose(q, m)
 		}
 		m.server = s
-		if s.Region == h.Region {
-			near = append(near, m)
-		} else {
-			far = append(far, m)
-		}
+		l = append(l, m)
 	}
-	if len(near) > 0 {
-		return near
+	return nearest(l, func(m *worker) bool { return m.server.Region == h.Region })
+}
+
+// nearest keeps the servers that are near, or all if none is.
+func nearest[T any](l []T, near func(T) bool) []T {
+	if !slices.ContainsFunc(l, near) {
+		return l
 	}
-	return far
+	return slices.DeleteFunc(l, func(x T) bool { return !near(x) })
 }
 
 // dispatch fills the calls of all servers that can take one.
@@ -192,14 +192,16 @@
 // fill fills calls of all servers of a pool that can take one. It also notes servers that
 // are new or have started anew.
 func (h *Home) fill(q *pool, w *relay.PieceWork) {
-	l := h.usable(q, w)
+	now := h.Now()
+	all := h.workers(q)
+	l := usable(all, w, now)
 	if len(l) == 0 || len(q.waiting) == 0 {
 		return
 	}
 	groups := h.groups(q)
 	near := map[string]bool{} // failure domains with a server that does not rest
-	for _, m := range h.workers(q) {
-		if !h.Now().Before(m.until) {
+	for _, m := range all {
+		if !now.Before(m.until) {
 			near[m.server.Domain] = true
 		}
 	}
--- a/core/relay/stock.go
+++ b/core/relay/stock.go
@@ -94,12 +94,14 @@
 	s.view = nil
 }
 
-// Put takes the entry of one server.
-func (s *Stock) Put(x *Server) {
+// Put takes the entry of one server and returns the one before, nil if there was none.
+func (s *Stock) Put(x *Server) *Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	old := s.servers[x.ID]
 	s.put(x)
 	s.view = nil
+	return old
 }
 
 func (s *Stock) put(x *Server) {
--- a/io/edge/beliefs.go
+++ b/io/edge/beliefs.go
@@ -27,7 +27,6 @@
 	peers func() *peer.Mesh
 
 	operator, servers, nodes *follower
-	known                    map[string]*relay.Server // as last logged; under the lock of servers
 }
 
 func (b *beliefs) init() {
@@ -69,10 +68,6 @@
 		}
 		b.stock.Replace(l)
 		b.log.Info("servers_read", zap.Int("servers", len(l)))
-		b.known = map[string]*relay.Server{}
-		for _, s := range l {
-			b.known[s.ID] = s
-		}
 		return
 	}
 	for _, k := range keys {
@@ -80,25 +75,20 @@
 		if !ok {
 			b.log.Info("server_entry_gone", zap.String("server", k))
 			b.stock.Drop(k)
-			delete(b.known, k)
 			continue
 		}
 		if s := b.server(k, r); s != nil {
-			b.stock.Put(s)
-			b.noteServer(s)
+			b.noteServer(b.stock.Put(s), s)
 		} else {
 			b.stock.Drop(k)
-			delete(b.known, k)
 		}
 	}
 }
 
-// noteServer logs an entry that is new, or says that its server leaves, came back, moved or
-// turned cold.
-func (b *beliefs) noteServer(s *relay.Server) {
+// noteServer logs an entry that is new (o is nil), or says that its server leaves, came back,
+// moved or turned cold.
+func (b *beliefs) noteServer(o, s *relay.Server) {
 	now := time.Now()
-	o := b.known[s.ID]
-	b.known[s.ID] = s
 	if o != nil && o.Leaving == s.Leaving && o.Address == s.Address && (o.Cold(now) || !s.Cold(now)) {
 		return
 	}
