io/exchange: report responses to other requests, log them as foreign_response

Pool.OnForeign reports each; the node logs address, target, status and the id of the request that waited. TestForeignResponse checks the report.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -141,7 +141,7 @@
 		n.Listen = net.Listen
 	}
 	n.store.Address, n.store.Dial = s.Store, n.Dial
-	n.pool.MaxConnections = n.maxConnections
+	n.pool.MaxConnections, n.pool.OnForeign = n.maxConnections, n.logForeign
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.cache.Now, n.roster.Now = time.Now, time.Now
 	n.sampler.now, n.crashes.Now = time.Now, time.Now
@@ -198,6 +198,12 @@
 	return err
 }
 
+// logForeign logs a response that was not that of the request on whose connection it came.
+func (n *Node) logForeign(f exchange.ForeignResponse) {
+	n.Log.Warn("foreign_response", zap.String("address", f.Address), zap.String("target", f.Target),
+		zap.String("request", f.Echo), zap.Int("status", f.Status))
+}
+
 // serve runs a server until the context ends. A server that is being shut down stops accepting
 // at once, but its requests go on until the context ends.
 func (n *Node) serve(ctx context.Context, s *http.Server) error {
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -75,6 +75,15 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// ForeignResponse describes a response that came on a connection on which that of another request
+// was expected.
+type ForeignResponse struct {
+	Address string
+	Target  string // of the request that waited
+	Echo    string // value of its Echo header; empty: the request has none
+	Status  int
+}
+
 var (
 	errForeignResponse = errors.New("answer belongs to another request")
 	errTooLarge        = errors.New("response too large")
@@ -181,7 +190,7 @@
 		if r.Echo == "" || a.Header.Get(r.Echo) == r.Header.Get(r.Echo) {
 			return a, nil
 		}
-		c.tainted = true
+		c.taint(r, a.StatusCode)
 		if err := c.skipBody(a); err != nil {
 			return nil, err
 		}
@@ -291,6 +300,14 @@
 	tainted   bool // a response to another request was read from it
 }
 
+// taint records that a response with a status came that is not that of r.
+func (c *conn) taint(r *Request, status int) {
+	c.tainted = true
+	if f := c.pool.OnForeign; f != nil {
+		f(ForeignResponse{Address: r.Address, Target: r.Target, Echo: r.Header.Get(r.Echo), Status: status})
+	}
+}
+
 // abort closes the connection, so that a read or write in progress fails.
 func (c *conn) abort() { _ = c.Close() } // the user of the connection gets the error
 
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -116,10 +116,15 @@
 // A response to another request is skipped, and its connection is not reused.
 func TestForeignResponse(t *testing.T) {
 	run(t, func(s *script) {
+		var got []ForeignResponse
+		s.pool.OnForeign = func(f ForeignResponse) { got = append(got, f) }
 		s.responses <- okResponse("old", "no") + okResponse("2", "yes")
 		if n, b, err := s.do(context.Background(), "2"); n != 200 || b != "yes" || err != nil {
 			t.Errorf("got %d %q %v, want the second response", n, b, err)
 		}
+		if want := (ForeignResponse{Address: address, Target: "/x?y", Echo: "2", Status: 200}); len(got) != 1 || got[0] != want {
+			t.Errorf("got reports %v, want %v", got, want)
+		}
 		s.responses <- okResponse("3", "ok")
 		if _, _, err := s.do(context.Background(), "3"); err != nil || s.conns != 2 {
 			t.Errorf("got %v on %d connections, want a second one", err, s.conns)
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -46,6 +46,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxConnections returns the limit of connections to an address; nil or 0 means none.
 	MaxConnections func(address string) int
+	// OnForeign is called for each response to another request that is skipped; may be nil.
+	OnForeign func(ForeignResponse)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
