Tests of servers that send each response twice; three fail

Stand-ins write each response once more when the next request arrives on its connection (io/standin.Repeater), as the users say that faulty servers do. Seen on this commit: TestRepeatedRefusalOfBatch: a request is run with the results of another one (MIXED). TestServedWhileResponsesRepeat: six of six model requests are refused. TestRepeatedRefusalOfRequest: 503 'not run' for a request that was run (REFUSED).

--- /dev/null
+++ b/io/edge/repeated_test.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	platformstandin "bergamotspring/platform/standin"
+)
+
+// onlyServer removes the other servers of a service, and lets all nodes use it once.
+func (w *testFleet) onlyServer(service, domain string) *platformstandin.Server {
+	for _, d := range []string{"a", "b", "c"} {
+		if d != domain {
+			w.store.Remove("servers", service+"-"+d)
+		}
+	}
+	time.Sleep(time.Second)
+	w.stream("a1", "/draft/x", "first")
+	time.Sleep(time.Second)
+	return w.servers[service+"-"+domain]
+}
+
+// A stage server sends its refusal of a batch once more, in place of the response to the next batch,
+// whose own response is then due on the connection: no request gets the results of another one.
+func TestRepeatedRefusalOfBatch(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		s := w.onlyServer("encode", "b")
+		w.repeater.On.Store(true)
+		s.QueueFaults(platformstandin.FaultReject)
+		ctx, cancel := context.WithTimeout(context.Background(), 110*time.Millisecond) // in the second batch
+		defer cancel()
+		w.send(ctx, "a1", http.MethodPost, "/draft/x", "x", modelHeaders("x")...)
+		if r := w.stream("a1", "/draft/x", "y"); r.status != 200 || r.body != fullStream(6) {
+			t.Errorf("got %d %v %q", r.status, r.err, r.body)
+		}
+		if l := w.results.ForeignInputs; len(l) > 0 {
+			t.Errorf("inputs of other requests: %v", l)
+		}
+	})
+}
+
+// All servers send each response twice from the start: requests are served, each with its own results.
+func TestServedWhileResponsesRepeat(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.repeater.On.Store(true)
+		for i := range 6 {
+			id := fmt.Sprint("r", i)
+			if r := w.stream([]string{"a1", "a2", "b1"}[i%3], "/draft/x", id); r.status != 200 || r.body != fullStream(6) || w.runCount(id) != 1 {
+				t.Errorf("request %d: got %d %v %q, %d runs", i, r.status, r.err, r.body, w.runCount(id))
+			}
+			if r := w.request("a1", http.MethodGet, "/read/x", "p"+id); r.status != 200 {
+				t.Errorf("plain request %d: got %d %v", i, r.status, r.err)
+			}
+		}
+		if l := w.results.ForeignInputs; len(l) > 0 {
+			t.Errorf("inputs of other requests: %v", l)
+		}
+	})
+}
+
+// A model server sends its refusal once more as the same request is sent to it again: the request,
+// which it runs then, does not count as not run.
+func TestRepeatedRefusalOfRequest(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		s := w.onlyServer("model", "b")
+		w.repeater.On.Store(true)
+		s.QueueFaults(platformstandin.FaultInputLost)
+		if r := w.stream("a1", "/once/x", "again"); r.status != 200 || r.body != fullStream(6) || w.runCount("again") != 1 {
+			t.Errorf("got %d %v %q after %d runs, want one run", r.status, r.err, r.body, w.runCount("again"))
+		}
+	})
+}
--- a/io/edge/testfleet_test.go
+++ b/io/edge/testfleet_test.go
@@ -35,6 +35,7 @@
 type testFleet struct {
 	t           *testing.T
 	net         *standin.Network
+	repeater    standin.Repeater // of the responses of all backend servers
 	store       *platformstandin.Store
 	results     *platformstandin.Results
 	nodes       map[string]*testNode
@@ -121,6 +122,9 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	if address != storeAddress {
+		l = w.repeater.Wrap(l)
+	}
 	s := &http.Server{Handler: h}
 	w.httpServers = append(w.httpServers, s)
 	w.serving.Go(func() { _ = s.Serve(l) }) // until close
