Stages: a connection is used again only after a response that proves itself

Callers could get a generation made from the inputs of another request (MIXED). Stage servers repeat no id. A refusal, a batch of which no task was done, or the answer to a release or a capacity query is the same each time; a late copy of it was taken for the response to the next batch. The connection went back to the pool with that batch's own response still due, so the batch after it got the results of the one before, whose handles were new to the check of copies. Also, handles were remembered for 5 s at least, while a connection may be idle for 4 s and then wait longer for its batch.

Pool.Whole now identifies each response by a mark, the first handle of a batch. A response whose mark was seen on the connection is a copy and is skipped, like one with a foreign id; before, the batch broke off. After a response without a mark the connection is closed, so no copy of it can reach a later call. Connections of calls without an id are not shared with requests that have one.

TestCopiedStageResponse looked for the error of the batch that broke off; a copy is now skipped, so it looks for the event foreign_response instead.

--- a/io/edge/faults_test.go
+++ b/io/edge/faults_test.go
@@ -125,7 +125,7 @@
 			if l := w.results.ForeignInputs; len(l) > 0 {
 				t.Errorf("%s: inputs of other requests: %v", service, l)
 			}
-			if len(w.log.matching("stage_call", "response to an earlier batch")) == 0 {
+			if len(w.log.matching("foreign_response", "/stage-run")) == 0 {
 				t.Errorf("%s: no copy was recognised", service)
 			}
 		})
--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -41,8 +41,6 @@
 	meter  *meter
 	work   sync.WaitGroup // I/O in progress
 
-	handles recentHandles
-
 	mu         sync.Mutex
 	core       placement.Scheduler
 	waiting    map[attemptKey]waiter
@@ -193,11 +191,11 @@
 		return placement.BatchBroken, nil, err
 	}
 	var l []placement.TaskResult
-	status, _, err := h.pool.Whole(ctx, q, maxStageResponse, func(status int, b []byte) (err error) {
+	status, _, err := h.pool.Whole(ctx, q, maxStageResponse, func(status int, b []byte) (mark string, err error) {
 		if status == http.StatusOK {
 			l, err = platform.StageResults(b, len(c.Tasks))
 		}
-		return errors.Join(err, h.handles.add(l, time.Now()))
+		return platform.StageMark(b), err
 	})
 	var u *exchange.UnsentError
 	switch {
@@ -232,7 +230,9 @@
 	q, err := platform.StageRelease(f)
 	status := 0
 	if err == nil {
-		status, _, err = h.pool.Whole(ctx, q, maxStageResponse, func(_ int, b []byte) error { return platform.StageReleased(b) })
+		status, _, err = h.pool.Whole(ctx, q, maxStageResponse, func(_ int, b []byte) (string, error) {
+			return platform.StageMark(b), platform.StageReleased(b)
+		})
 	}
 	outcome := messageStatus(status, err)
 	if outcome != placement.MessageDone {
@@ -246,11 +246,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
 	free := int64(0)
-	status, _, err := h.pool.Whole(ctx, platform.StageQuery(l), maxStageResponse, func(status int, b []byte) (err error) {
+	status, _, err := h.pool.Whole(ctx, platform.StageQuery(l), maxStageResponse, func(status int, b []byte) (mark string, err error) {
 		if status == http.StatusOK {
 			free, err = platform.StageCapacity(b)
 		}
-		return err
+		return platform.StageMark(b), err
 	})
 	outcome := messageStatus(status, err)
 	if outcome != placement.MessageDone {
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -110,6 +110,7 @@
 	if err != nil {
 		return nil, nil, &UnsentError{Refused: refused(err), Cause: err}
 	}
+	c.echo = r.Echo
 	// After a pause of the process the deadline may have passed while the context does not tell yet,
 	// as its timer has not run.
 	if d, ok := ctx.Deadline(); ok && !time.Now().Before(d) {
@@ -135,26 +136,61 @@
 	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: !a.Close && reusable(a)}, nil
 }
 
-// Whole sends a request and reads its whole response. Check decides whether it belongs to the
-// request, where the server repeats no header that tells. If it does not, or is longer than limit
-// bytes, the exchange counts as broken off and the connection is not used again.
-func (p *Pool) Whole(ctx context.Context, r *Request, limit int64, check func(status int, b []byte) error) (int, []byte, error) {
+// Identify decides whether a response belongs to a request whose server repeats no header that
+// tells. It returns a mark that no other response has, or "" if the response has none; the error says
+// that it does not belong to the request.
+type Identify func(status int, b []byte) (mark string, err error)
+
+// Whole sends a request and reads its whole response. A response with the mark of an earlier one on
+// the connection is a copy and is skipped. After one without a mark the connection is not used again, as
+// nothing would tell a copy of it from the response to the next request. If the response does not belong
+// to the request, or is longer than limit bytes, the exchange counts as broken off.
+func (p *Pool) Whole(ctx context.Context, r *Request, limit int64, identify Identify) (int, []byte, error) {
 	a, body, err := p.do(ctx, r) //nolint:bodyclose // ended below
 	if err != nil {
 		return 0, nil, err
 	}
-	l, err := io.ReadAll(io.LimitReader(body.ReadCloser, limit+1))
-	if err == nil && int64(len(l)) > limit {
-		err = errTooLarge
-	}
-	if err == nil {
-		err = check(a.StatusCode, l)
+	for range maxSkipped + 1 {
+		l, mark, err := readWhole(a, limit, identify)
+		if body.conn.seen.has(mark) {
+			if a, err = body.conn.skipCopy(r, a); err == nil {
+				continue
+			}
+		}
+		if err == nil {
+			body.conn.seen.add(mark)
+			body.reuse = mark != "" && reusable(a) && !a.Close
+		}
+		body.end(err)
+		if err != nil {
+			return 0, nil, &BrokenError{Cause: err}
+		}
+		return a.StatusCode, l, nil
 	}
-	body.end(err)
+	body.end(errForeignResponse)
+	return 0, nil, &BrokenError{Cause: errForeignResponse}
+}
+
+// readWhole reads the body of a response and identifies it.
+func readWhole(a *http.Response, limit int64, identify Identify) (b []byte, mark string, err error) {
+	b, err = io.ReadAll(io.LimitReader(a.Body, limit+1))
 	if err != nil {
-		return a.StatusCode, nil, &BrokenError{Cause: err}
+		return nil, "", err
 	}
-	return a.StatusCode, l, nil
+	if int64(len(b)) > limit {
+		return nil, "", errTooLarge
+	}
+	mark, err = identify(a.StatusCode, b)
+	return b, mark, err
+}
+
+// skipCopy reads the header of the response that follows a, which is a copy of an earlier one.
+func (c *conn) skipCopy(r *Request, a *http.Response) (*http.Response, error) {
+	c.taint(r, a.StatusCode)
+	if a.Close || !reusable(a) {
+		return nil, errForeignResponse
+	}
+	return c.readResponse(r)
 }
 
 // reusable reports whether the framing allows another response on the connection.
@@ -162,6 +198,14 @@
 	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
 }
 
+// id returns the value of the Echo header, "" if there is none.
+func (r *Request) id() string {
+	if r.Echo == "" {
+		return ""
+	}
+	return r.Header.Get(r.Echo)
+}
+
 // bytes returns the encoded request, so that it is sent in one write.
 func (r *Request) bytes() []byte {
 	var b bytes.Buffer
@@ -187,7 +231,7 @@
 		if a.StatusCode >= 100 && a.StatusCode < 200 {
 			continue
 		}
-		if r.Echo == "" || a.Header.Get(r.Echo) == r.Header.Get(r.Echo) {
+		if r.Echo == "" || a.Header.Get(r.Echo) == r.id() {
 			return a, nil
 		}
 		c.taint(r, a.StatusCode)
@@ -277,7 +321,7 @@
 func (b *body) end(err error) {
 	b.done = true
 	active := b.stop()
-	if err == nil && active && b.reuse && !b.conn.tainted && b.conn.in.Buffered() == 0 {
+	if err == nil && active && b.reuse && b.conn.reusable() {
 		b.conn.pool.put(b.conn)
 		return
 	}
@@ -297,14 +341,25 @@
 	in        *bufio.Reader
 	limit     *limitedReader // that in reads from
 	idleSince time.Time
-	tainted   bool // a response to another request was read from it
+	tainted   bool   // a response to another request was read from it
+	echo      string // Request.Echo of its requests
+	seen      ids
+}
+
+// mayCarry reports whether a request may be sent on a connection that was used before: its requests had
+// their ids in the same header, if any.
+func (c *conn) mayCarry(r *Request) bool { return c.echo == r.Echo }
+
+// reusable reports whether the connection can be used for another request.
+func (c *conn) reusable() bool {
+	return !c.tainted && c.in.Buffered() == 0 && len(c.seen) < maxIDs
 }
 
 // taint records that a response with a status came that is not that of r.
 func (c *conn) taint(r *Request, status int) {
 	c.tainted = true
 	if f := c.pool.OnForeign; f != nil {
-		f(ForeignResponse{Address: r.Address, Target: r.Target, Echo: r.Header.Get(r.Echo), Status: status})
+		f(ForeignResponse{Address: r.Address, Target: r.Target, Echo: r.id(), Status: status})
 	}
 }
 
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -132,6 +132,35 @@
 	})
 }
 
+// whole sends a request whose server repeats no id; the body of its response is its mark.
+func (s *script) whole() (string, error) {
+	r := &Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h"}
+	_, b, err := s.pool.Whole(context.Background(), r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
+	return string(b), err
+}
+
+// A copy of a marked response is skipped. A connection is not used after a response without a mark, of
+// which a copy cannot be told from the next response.
+func TestCopiedResponse(t *testing.T) {
+	run(t, func(s *script) {
+		for i, c := range []struct {
+			response, want string
+			conns          int
+		}{
+			{okResponse("", "m1"), "m1", 1},
+			{okResponse("", "m1") + okResponse("", "m2"), "m2", 1}, // then it is not used again
+			{okResponse("", ""), "", 2},
+			{okResponse("", "m3"), "m3", 3},
+			{okResponse("", "m4"), "m4", 3},
+		} {
+			s.responses <- c.response
+			if got, err := s.whole(); got != c.want || err != nil || s.conns != c.conns {
+				t.Errorf("request %d: got %q %v on %d connections, want %q on %d", i, got, err, s.conns, c.want, c.conns)
+			}
+		}
+	})
+}
+
 // Bytes after a complete response are not taken for the response to the next request.
 func TestExtraBytes(t *testing.T) {
 	run(t, func(s *script) {
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -46,7 +47,7 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxConnections returns the limit of connections to an address; nil or 0 means none.
 	MaxConnections func(address string) int
-	// OnForeign is called for each response to another request that is skipped; may be nil.
+	// OnForeign is called for each response that is skipped; may be nil.
 	OnForeign func(ForeignResponse)
 
 	mu   sync.Mutex
@@ -58,7 +59,7 @@
 // that surplus ones time out.
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	for {
-		c := p.take(r.Address)
+		c := p.take(r)
 		if c == nil {
 			break
 		}
@@ -70,16 +71,19 @@
 	return p.dial(ctx, r.Address)
 }
 
-func (p *Pool) take(address string) *conn {
+// take removes and returns the idle connection that was used last, of those that a request may use; nil
+// if there is none.
+func (p *Pool) take(r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.idle[address]
-	if len(l) == 0 {
-		return nil
+	l := p.idle[r.Address]
+	for i := len(l) - 1; i >= 0; i-- {
+		if c := l[i]; c.mayCarry(r) {
+			p.idle[r.Address] = slices.Delete(l, i, i+1)
+			return c
+		}
 	}
-	c := l[len(l)-1]
-	p.idle[address] = l[:len(l)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(c *conn) {
