io/exchange: an id is sent once on a connection

Callers were told 503, 'not run', for a request that a server had run (REFUSED), as operators of other systems reported. A server refuses a request (409, an input is gone), the stages run again, and the request goes to the same server with the same id on the connection that was kept. A late copy of the refusal has that id, so it counted as the answer.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -40,7 +40,8 @@
 	Header  http.Header
 	Body    []byte
 	// Echo names a header that the server repeats in its response; a response with
-	// another value belongs to another request. If empty, this is not checked.
+	// another value belongs to another request. A value is sent once on a connection. If empty, this
+	// is not checked.
 	Echo string
 }
 
@@ -117,6 +118,7 @@
 		p.put(c)
 		return nil, nil, &UnsentError{Cause: context.DeadlineExceeded}
 	}
+	c.seen.add(r.id())
 	stop := context.AfterFunc(ctx, c.abort)
 	n, err := c.Write(r.bytes())
 	if err != nil {
@@ -347,8 +349,9 @@
 }
 
 // mayCarry reports whether a request may be sent on a connection that was used before: its requests had
-// their ids in the same header, if any.
-func (c *conn) mayCarry(r *Request) bool { return c.echo == r.Echo }
+// their ids in the same header, if any, and none had that of r. A copy of an earlier response is then
+// told from that to r.
+func (c *conn) mayCarry(r *Request) bool { return c.echo == r.Echo && !c.seen.has(r.id()) }
 
 // reusable reports whether the connection can be used for another request.
 func (c *conn) reusable() bool {
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -55,8 +55,9 @@
 	open map[string]int
 }
 
-// get returns a connection for a request. It prefers the connection that was used last, so
-// that surplus ones time out.
+// get returns a connection for a request, on which its Echo value was not sent before: a copy of the
+// earlier response would have the same value. It prefers the connection that was used last, so that
+// surplus ones time out.
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	for {
 		c := p.take(r)
