io/exchange: no response is read after the last copy that is skipped

Found by review: after maxSkipped copies of a marked response Whole read one more header only to drop it, so a call waited for its whole timeout. The loop now ends where the count is known.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -138,39 +138,43 @@
 	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: !a.Close && reusable(a)}, nil
 }
 
-// Identify decides whether a response belongs to a request whose server repeats no header that
-// tells. It returns a mark that no other response has, or "" if the response has none; the error says
-// that it does not belong to the request.
+// Identify decides whether a response belongs to a request whose server echoes no id. It returns a mark
+// that no other response has, or "" if the response has none; the error says that it does not belong to
+// the request.
 type Identify func(status int, b []byte) (mark string, err error)
 
-// Whole sends a request and reads its whole response. A response with the mark of an earlier one on
-// the connection is a copy and is skipped. After one without a mark the connection is not used again, as
-// nothing would tell a copy of it from the response to the next request. If the response does not belong
-// to the request, or is longer than limit bytes, the exchange counts as broken off.
+// Whole sends a request whose server echoes no id, and reads its whole response. A response with the mark
+// of an earlier one is a copy and is skipped. After one without a mark the connection is not used again,
+// as nothing would tell a copy of it from the response to the next request. If the response does not
+// belong to the request, or is longer than limit bytes, the exchange counts as broken off.
 func (p *Pool) Whole(ctx context.Context, r *Request, limit int64, identify Identify) (int, []byte, error) {
 	a, body, err := p.do(ctx, r) //nolint:bodyclose // ended below
 	if err != nil {
 		return 0, nil, err
 	}
-	for range maxSkipped + 1 {
-		l, mark, err := readWhole(a, limit, identify)
-		if body.conn.seen.has(mark) {
-			if a, err = body.conn.skipCopy(r, a); err == nil {
-				continue
-			}
-		}
-		if err == nil {
+	var b []byte
+	for n := 0; ; n++ {
+		var mark string
+		b, mark, err = readWhole(a, limit, identify)
+		if !body.conn.seen.has(mark) {
 			body.conn.seen.add(mark)
 			body.reuse = mark != "" && reusable(a) && !a.Close
+			break
 		}
-		body.end(err)
-		if err != nil {
-			return 0, nil, &BrokenError{Cause: err}
+		body.conn.taint(r, a.StatusCode)
+		if n == maxSkipped || a.Close || !reusable(a) {
+			err = errForeignResponse
+			break
+		}
+		if a, err = body.conn.readResponse(r); err != nil {
+			break
 		}
-		return a.StatusCode, l, nil
 	}
-	body.end(errForeignResponse)
-	return 0, nil, &BrokenError{Cause: errForeignResponse}
+	body.end(err)
+	if err != nil {
+		return 0, nil, &BrokenError{Cause: err}
+	}
+	return a.StatusCode, b, nil
 }
 
 // readWhole reads the body of a response and identifies it.
@@ -186,15 +190,6 @@
 	return b, mark, err
 }
 
-// skipCopy reads the header of the response that follows a, which is a copy of an earlier one.
-func (c *conn) skipCopy(r *Request, a *http.Response) (*http.Response, error) {
-	c.taint(r, a.StatusCode)
-	if a.Close || !reusable(a) {
-		return nil, errForeignResponse
-	}
-	return c.readResponse(r)
-}
-
 // reusable reports whether the framing allows another response on the connection.
 func reusable(a *http.Response) bool {
 	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -181,6 +181,23 @@
 	})
 }
 
+// After as many copies as are skipped, the exchange ends without waiting for another response.
+func TestCopiesWithoutEnd(t *testing.T) {
+	run(t, func(s *script) {
+		s.responses <- okResponse("", "m1")
+		_, _ = s.whole()
+		s.responses <- strings.Repeat(okResponse("", "m1"), maxSkipped+1)
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		r := &Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h"}
+		_, _, err := s.pool.Whole(ctx, r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
+		if !errors.Is(err, errForeignResponse) || time.Since(start) != 0 {
+			t.Errorf("got %v after %v, want %v at once", err, time.Since(start), errForeignResponse)
+		}
+	})
+}
+
 // Bytes after a complete response are not taken for the response to the next request.
 func TestExtraBytes(t *testing.T) {
 	run(t, func(s *script) {
