io/exchange: copies of marked responses are known on other connections too

Found by review: kept marks by connection only, where io/edge had kept handles of all connections for some seconds. A server that repeats a response on the next connection, as FaultCopy of our own stand-ins does, gave a request the results of another: 'c1 got c0/1/0 c1 got c0/1/1 c1 got c0/1/2'. It mattered more since refusals close connections.

TestCopyOfResponseOnAnotherConnection and TestCopyOnAnotherConnection failed before.

--- a/io/edge/repeated_test.go
+++ b/io/edge/repeated_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,6 +43,27 @@
 	})
 }
 
+// A stage server refuses a batch, so that its connection is closed, and then sends the response of the
+// batch before on the next connection: no request gets the results of another one.
+func TestCopyOfResponseOnAnotherConnection(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		s := w.onlyServer("rank", "b")
+		for _, d := range []string{"a", "b", "c"} {
+			w.servers["model-"+d].ServiceTime = 500 * time.Millisecond // the results are still in use
+		}
+		s.QueueFaults(platformstandin.FaultNone, platformstandin.FaultReject, platformstandin.FaultCopy)
+		var g sync.WaitGroup
+		for i := range 2 {
+			g.Go(func() { w.stream("a1", "/draft/x", fmt.Sprint("c", i)) })
+			time.Sleep(50 * time.Millisecond) // the second waits for the next batch
+		}
+		g.Wait()
+		if l := w.results.ForeignInputs; len(l) > 0 {
+			t.Errorf("inputs of other requests: %v", l)
+		}
+	})
+}
+
 // All servers send each response twice from the start: requests are served, each with its own results.
 func TestServedWhileResponsesRepeat(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -156,8 +156,7 @@
 	for n := 0; ; n++ {
 		var mark string
 		b, mark, err = readWhole(a, limit, identify)
-		if !body.conn.seen.has(mark) {
-			body.conn.seen.add(mark)
+		if body.conn.isNew(mark) {
 			body.reuse = mark != "" && reusable(a) && !a.Close
 			break
 		}
@@ -343,6 +342,16 @@
 	seen      ids
 }
 
+// isNew adds a mark to the known ones, and returns false if it was known. A connection knows its marks for
+// as long as it is used, the pool those of all connections for some time.
+func (c *conn) isNew(mark string) bool {
+	if c.seen.has(mark) || !c.pool.marks.add(mark, time.Now()) {
+		return false
+	}
+	c.seen.add(mark)
+	return true
+}
+
 // mayCarry reports whether a request may be sent on a connection that was used before: its requests had
 // their ids in the same header, if any, and none had that of r. A copy of an earlier response is then
 // told from that to r.
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -198,6 +198,23 @@
 	})
 }
 
+// A server sends a copy of a marked response on another connection than the first: it is skipped, as
+// each mark is given out once.
+func TestCopyOnAnotherConnection(t *testing.T) {
+	run(t, func(s *script) {
+		for i, c := range []struct{ response, want string }{
+			{okResponse("", "m1"), "m1"},
+			{okResponse("", ""), ""}, // no mark: the connection is closed
+			{okResponse("", "m1") + okResponse("", "m2"), "m2"},
+		} {
+			s.responses <- c.response
+			if got, err := s.whole(); got != c.want || err != nil {
+				t.Errorf("request %d: got %q %v, want %q", i, got, err, c.want)
+			}
+		}
+	})
+}
+
 // Bytes after a complete response are not taken for the response to the next request.
 func TestExtraBytes(t *testing.T) {
 	run(t, func(s *script) {
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -53,6 +53,8 @@
 	mu   sync.Mutex
 	idle map[string][]*conn
 	open map[string]int
+
+	marks recentMarks
 }
 
 // get returns a connection for a request, on which its Echo value was not sent before: a copy of the
