io/exchange: an idle connection gives way to a request that it may not carry

Found by review, new since: at the limit of connections to a server, a request that none of the idle ones may carry failed with 'all connections are in use' until they timed out after 4 s. Now the one that was unused longest is closed. TestIdleConnectionGivesWay failed before.

--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -215,6 +215,19 @@
 	})
 }
 
+// An idle connection that may not carry a request gives way to one that may, if no more may be opened.
+func TestIdleConnectionGivesWay(t *testing.T) {
+	run(t, func(s *script) {
+		s.pool.MaxConnections = func(string) int { return 1 }
+		for i := range 2 {
+			s.responses <- okResponse("1", "ok")
+			if n, b, err := s.do(context.Background(), "1"); n != 200 || b != "ok" || err != nil {
+				t.Errorf("send %d of the request: got %d %q %v, want its response", i, n, b, err)
+			}
+		}
+	})
+}
+
 // Bytes after a complete response are not taken for the response to the next request.
 func TestExtraBytes(t *testing.T) {
 	run(t, func(s *script) {
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -105,7 +105,11 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	if err := p.reserve(address); err != nil {
+	err := p.reserve(address)
+	for err != nil && p.closeIdle(address) {
+		err = p.reserve(address)
+	}
+	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -123,6 +127,22 @@
 	return &conn{Conn: n, pool: p, address: address, in: bufio.NewReaderSize(l, readBuffer), limit: l}, nil
 }
 
+// closeIdle closes the idle connection to an address that was unused longest, and reports whether there
+// was one.
+func (p *Pool) closeIdle(address string) bool {
+	p.mu.Lock()
+	l := p.idle[address]
+	if len(l) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	c := l[0]
+	p.idle[address] = slices.Delete(l, 0, 1)
+	p.mu.Unlock()
+	c.close()
+	return true
+}
+
 // Probe opens a connection and closes it. The error is an *UnsentError.
 func (p *Pool) Probe(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
