io/exchange: Do without an id does not keep its connection

Found by review: a response that nothing identifies, read by Do, left its connection in the pool, and Whole could take a copy of it. No caller does this today; the API allowed the fault that mended. TestUnidentifiedResponse failed before.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -39,9 +39,9 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	// Echo names a header that the server repeats in its response; a response with
-	// another value belongs to another request. A value is sent once on a connection. If empty, this
-	// is not checked.
+	// Echo names a header that the server repeats in its response; a response with another value
+	// belongs to another request. If empty, this is not checked. The pool sends a value once on a
+	// connection.
 	Echo string
 }
 
@@ -90,7 +90,8 @@
 	errTooLarge        = errors.New("response too large")
 )
 
-// Do sends a request and returns its response once the header was read. When the context
+// Do sends a request and returns its response once the header was read. Without an Echo header, the
+// connection is not used again: see Whole. When the context
 // ends, the connection is closed, also while the body is read. The error is an *UnsentError
 // or a *BrokenError.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
@@ -135,7 +136,7 @@
 		c.close()
 		return nil, nil, &BrokenError{Cause: err}
 	}
-	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: !a.Close && reusable(a)}, nil
+	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: r.Echo != "" && !a.Close && reusable(a)}, nil
 }
 
 // Identify decides whether a response belongs to a request whose server echoes no id. It returns a mark
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -228,6 +228,22 @@
 	})
 }
 
+// A response that nothing identifies is not followed by another on its connection, also if it came to Do.
+func TestUnidentifiedResponse(t *testing.T) {
+	run(t, func(s *script) {
+		s.responses <- okResponse("", "m1")
+		r, err := s.pool.Do(context.Background(), &Request{Address: address, Method: http.MethodGet, Target: "/x", Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.responses <- okResponse("", "m1") + okResponse("", "m2")
+		if got, err := s.whole(); got != "m1" || err != nil || s.conns != 2 {
+			t.Errorf("got %q %v on %d connections, want m1 on a second one", got, err, s.conns)
+		}
+	})
+}
+
 // Bytes after a complete response are not taken for the response to the next request.
 func TestExtraBytes(t *testing.T) {
 	run(t, func(s *script) {
