io/exchange: report copies that come while their connection is idle

Found by review: only copies that come after the next request was sent were reported. They are reported with no target and status 0. TestExtraBytes checks it.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -76,13 +76,13 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
-// ForeignResponse describes a response that came on a connection on which that of another request
-// was expected.
+// ForeignResponse describes a response that came on a connection on which that of another request, or
+// none, was expected.
 type ForeignResponse struct {
 	Address string
-	Target  string // of the request that waited
+	Target  string // of the request that waited; empty: none did
 	Echo    string // value of its Echo header; empty: the request has none
-	Status  int
+	Status  int    // 0: not read
 }
 
 var (
@@ -161,7 +161,7 @@
 			body.reuse = mark != "" && reusable(a) && !a.Close
 			break
 		}
-		body.conn.taint(r, a.StatusCode)
+		body.conn.onForeign(r, a.StatusCode)
 		if n == maxSkipped || a.Close || !reusable(a) {
 			err = errForeignResponse
 			break
@@ -231,7 +231,7 @@
 		if r.Echo == "" || a.Header.Get(r.Echo) == r.id() {
 			return a, nil
 		}
-		c.taint(r, a.StatusCode)
+		c.onForeign(r, a.StatusCode)
 		if err := c.skipBody(a); err != nil {
 			return nil, err
 		}
@@ -318,6 +318,9 @@
 func (b *body) end(err error) {
 	b.done = true
 	active := b.stop()
+	if err == nil && b.conn.in.Buffered() > 0 {
+		b.conn.pool.report(ForeignResponse{Address: b.conn.address})
+	}
 	if err == nil && active && b.reuse && b.conn.reusable() {
 		b.conn.pool.put(b.conn)
 		return
@@ -363,12 +366,10 @@
 	return !c.tainted && c.in.Buffered() == 0 && len(c.seen) < maxIDs
 }
 
-// taint records that a response with a status came that is not that of r.
-func (c *conn) taint(r *Request, status int) {
+// onForeign takes account of a response that is not that of r: the connection is not used again.
+func (c *conn) onForeign(r *Request, status int) {
 	c.tainted = true
-	if f := c.pool.OnForeign; f != nil {
-		f(ForeignResponse{Address: r.Address, Target: r.Target, Echo: r.id(), Status: status})
-	}
+	c.pool.report(ForeignResponse{Address: c.address, Target: r.Target, Echo: r.id(), Status: status})
 }
 
 // abort closes the connection, so that a read or write in progress fails.
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -247,10 +247,15 @@
 // Bytes after a complete response are not taken for the response to the next request.
 func TestExtraBytes(t *testing.T) {
 	run(t, func(s *script) {
+		var got []ForeignResponse
+		s.pool.OnForeign = func(f ForeignResponse) { got = append(got, f) }
 		s.responses <- okResponse("1", "ok") + okResponse("1", "again")
 		if _, b, err := s.do(context.Background(), "1"); b != "ok" || err != nil {
 			t.Errorf("got %q %v", b, err)
 		}
+		if want := (ForeignResponse{Address: address}); len(got) != 1 || got[0] != want {
+			t.Errorf("got reports %v, want %v", got, want)
+		}
 		s.responses <- okResponse("2", "new")
 		if _, b, _ := s.do(context.Background(), "2"); b != "new" || s.conns != 2 {
 			t.Errorf("got %q on %d connections, want the response of a second one", b, s.conns)
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -47,7 +47,7 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxConnections returns the limit of connections to an address; nil or 0 means none.
 	MaxConnections func(address string) int
-	// OnForeign is called for each response that is skipped; may be nil.
+	// OnForeign is called for each response that no request waits for; may be nil.
 	OnForeign func(ForeignResponse)
 
 	mu   sync.Mutex
@@ -168,6 +168,13 @@
 	return nil
 }
 
+// report reports a response that no request waits for.
+func (p *Pool) report(f ForeignResponse) {
+	if p.OnForeign != nil {
+		p.OnForeign(f)
+	}
+}
+
 func (p *Pool) release(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -225,7 +232,10 @@
 	empty := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if n > 0 {
+			c.pool.report(ForeignResponse{Address: c.address})
+		}
 		empty = errors.Is(e, syscall.EAGAIN)
 		return true
 	})
