io/standin: Close aborts dials that are under way

The reviewer's run of 'go test -race -count=6 ./io/edge' panicked once in TestOneWayCuts with 'deadlock: main bubble goroutine has exited but blocked goroutines remain'. Its trace shows a dial of the store client in the background, in the 2 ms of the network's latency as the fleet closed: Close aborted only dials that hang. They are all aborted now. TestCloseAbortsDials failed before (after 2 s).

--- a/io/standin/network.go
+++ b/io/standin/network.go
@@ -17,7 +17,6 @@
 	"syscall"
 	"time"
 
-	"bergamotspring/io/wait"
 )
 
 // dialTimeout limits a dial to a host that does not respond, as the TCP connect timeout
@@ -104,7 +103,7 @@
 	if err != nil {
 		return nil, dialError(address, err)
 	}
-	if err := sleep(ctx, 2*n.latency(from, to)); err != nil {
+	if !n.wait(ctx, 2*n.latency(from, to)) {
 		return nil, dialError(address, os.ErrDeadlineExceeded)
 	}
 	n.mu.Lock()
@@ -134,13 +133,19 @@
 	return cut || n.hosts[to] == HostGone || n.hosts[from] != HostUp
 }
 
-func (n *Network) hang(ctx context.Context) {
-	c, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
+func (n *Network) hang(ctx context.Context) { n.wait(ctx, dialTimeout) }
+
+// wait waits for d, and reports whether neither the context ended nor the network closed meanwhile.
+func (n *Network) wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
 	select {
-	case <-c.Done():
+	case <-t.C:
+		return true
+	case <-ctx.Done():
 	case <-n.closing():
 	}
+	return false
 }
 
 func (n *Network) closing() chan struct{} {
@@ -390,10 +395,3 @@
 
 func (a addr) Network() string { return "tcp" }
 func (a addr) String() string  { return string(a) }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if !wait.Sleep(ctx, d) {
-		return ctx.Err()
-	}
-	return nil
-}
--- a/io/standin/network_test.go
+++ b/io/standin/network_test.go
@@ -91,3 +91,22 @@
 		}
 	})
 }
+
+// A network that closes aborts the dials in progress, also those that are under way: none of them outlives
+// the test that started it.
+func TestCloseAbortsDials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &Network{Latency: func(_, _ string) time.Duration { return time.Second }}
+		done := make(chan error, 1)
+		go func() {
+			_, err := n.Dial(context.Background(), "10.0.0.1", "10.0.0.2:80")
+			done <- err
+		}()
+		synctest.Wait()
+		start := time.Now()
+		n.Close()
+		if err := <-done; err == nil || time.Since(start) != 0 {
+			t.Errorf("got %v after %v, want an error at once", err, time.Since(start))
+		}
+	})
+}
