--- a/io/standin/network.go
+++ b/io/standin/network.go
@@ -16,7 +16,6 @@
 	"sync"
 	"syscall"
 	"time"
-
 )
 
 // dialTimeout limits a dial to a host that does not respond, as the TCP connect timeout
