core/placement: a queued task waits for inputs that were lost

A task of a second stage could run without some of its inputs (MIXED): it waited in the queue while the server that held results of the first stage started again. The results were queued to be made again and their handles cleared, but the waiting task could still go into the next batch, with an empty handle for each. Class of fault: what a stage was ready for once is taken for true after the process that held it ended.

Tasks are eligible for a batch only while all inputs of their stage exist. TestQueuedTaskLosesInputs failed on the code before with inputs ["" ""] and passes.

--- /dev/null
+++ b/core/placement/lostinputs_test.go
@@ -0,0 +1,54 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// restart gives a server a new process under its ID.
+func (b *harness) restart(id string) {
+	for i, s := range b.servers {
+		if s.ID == id {
+			c := *s
+			c.StartedAt++
+			b.servers[i] = &c
+		}
+	}
+	b.advance(25 * time.Millisecond)
+}
+
+// completeOn ends the batch in progress on a server, and returns its first task.
+func (b *harness) completeOn(id string) Task {
+	b.t.Helper()
+	i := slices.IndexFunc(b.batches, func(c Batch) bool { return c.Server.ID == id })
+	if i < 0 {
+		b.t.Fatalf("no batch on %s in %+v", id, b.batches)
+	}
+	b.batches[0], b.batches[i] = b.batches[i], b.batches[0]
+	return b.completeBatch().Tasks[0]
+}
+
+// wantInputs checks that a task or a granted request has n inputs, all made by running processes.
+func (b *harness) wantInputs(what string, got []string, n int, lost ...string) {
+	b.t.Helper()
+	if len(got) != n || slices.Contains(got, "") || slices.ContainsFunc(got, func(h string) bool { return slices.Contains(lost, h) }) {
+		b.t.Errorf("inputs of %s: got %q, want %d, none of %q", what, got, n, lost)
+	}
+}
+
+// A task waits in a queue as the server that holds its inputs restarts: it runs once all of them
+// exist again.
+func TestQueuedTaskLosesInputs(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "rank-a", "model-a")
+	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
+	b.submit("1", 2, mebibyte, twoStages)
+	b.completeOn("encode-a")
+	b.restart("encode-a")
+	b.completeOn("rank-a")
+	b.want("batches before the inputs exist", len(b.batches), 1)
+	b.completeOn("encode-a")
+	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2)
+	b.want("decisions", len(b.decisions), 2)
+}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -311,9 +311,9 @@
 
 // eligible reports whether a task may go to a server. Large results are computed in the
 // failure domain of their model server; a task goes elsewhere if no server there is
-// usable or it has waited for spillDelay.
+// usable or it has waited for spillDelay. A queued task whose inputs are lost waits for them.
 func (h *Scheduler) eligible(m *stageServer, p *task, near map[string]bool) bool {
-	if !p.job.allows(m.server.Region) {
+	if !p.job.allows(m.server.Region) || !p.job.ready(p.stage) {
 		return false
 	}
 	if p.stage.request.ResultBytes < localResultBytes || m.server.Domain == p.job.domain {
