core/placement: stages run again if a lost result was made from released ones

The results of a first stage are released once the second is complete; then the server with the results of the second starts again, and its tasks are queued once more. A coordinator that took the request over from another knows no handles of the released stage, and sent the task without inputs; one that had run the stage itself sent the released handles, which the server could only find gone.

A stage is ready only while its inputs are not released, and a request that lacks released inputs runs all of its stages again, as one whose inputs a server does not find. The same check serves requests that are taken over; it no longer asks whether the stage had started, since one that is left out of the progress has none.

TestLostResultOfReleasedInputs failed before (inputs [] for a request taken over, the released handles otherwise) and passes.

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -130,7 +130,7 @@
 	q.queue.push(p)
 }
 
-// restartStages computes all stages of a job again, since an input was lost.
+// restartStages computes all stages of a job again, since an input was lost or released.
 func (h *Scheduler) restartStages(j *job) {
 	j.taskRetries++
 	if j.taskRetries > maxTaskRetries {
--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -119,16 +119,11 @@
 // released, all stages are run again.
 func (h *Scheduler) adoptProgress(j *job) {
 	h.adoptStages(j)
-	if slices.ContainsFunc(j.stages, func(s *jobStage) bool { return s.started && s.remaining > 0 && j.lacksInput(s) }) {
+	if j.needsReleased() {
 		h.resetStages(j)
 	}
 }
 
-// lacksInput reports whether results that a stage needs were released.
-func (j *job) lacksInput(s *jobStage) bool {
-	return slices.ContainsFunc(s.request.After, func(n int) bool { return n >= 0 && n < len(j.stages) && j.stages[n].released })
-}
-
 // adoptStages sets the progress of a job's stages.
 func (h *Scheduler) adoptStages(j *job) {
 	for _, m := range j.request.Progress {
--- a/core/placement/job.go
+++ b/core/placement/job.go
@@ -54,13 +54,20 @@
 // ready reports whether all inputs of a stage exist.
 func (j *job) ready(s *jobStage) bool {
 	for _, n := range s.request.After {
-		if n >= 0 && n < len(j.stages) && j.stages[n].remaining > 0 {
+		if n >= 0 && n < len(j.stages) && (j.stages[n].remaining > 0 || j.stages[n].released) {
 			return false
 		}
 	}
 	return true
 }
 
+// needsReleased reports whether a result has to be made, or made again, from results that were released.
+func (j *job) needsReleased() bool {
+	return slices.ContainsFunc(j.stages, func(s *jobStage) bool {
+		return s.remaining > 0 && slices.ContainsFunc(s.request.After, func(n int) bool { return n >= 0 && n < len(j.stages) && j.stages[n].released })
+	})
+}
+
 // leafHandles returns the handles of the results that no other stage uses.
 func (j *job) leafHandles() []string {
 	var l []string
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -52,3 +52,32 @@
 	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2)
 	b.want("decisions", len(b.decisions), 2)
 }
+
+// The server of a second stage restarts after the results of the first, from which its own was made,
+// were released: the request's stages run again, also those of a request from another coordinator.
+func TestLostResultOfReleasedInputs(t *testing.T) {
+	for _, adopted := range []bool{false, true} {
+		b := newHarness(t)
+		b.keepServers("encode-a", "rank-a", "model-a")
+		threeStages := func(a *Request) {
+			twoStages(a)
+			a.Stages = append(a.Stages, StageRequest{Service: "encode", After: []int{1}, ResultBytes: 1000, Tasks: 1})
+			if adopted {
+				a.Progress = []StageProgress{{Released: true}, {Stage: 1, Results: []StoredResult{{Server: "rank-a", Handle: "x"}}}}
+			}
+		}
+		b.submit("1", 2, mebibyte, threeStages)
+		var released []string
+		if !adopted {
+			b.completeOn("encode-a")
+			released = []string{"encodea:1/1", "encodea:1/2"}
+			b.completeOn("rank-a")
+		}
+		b.restart("rank-a")
+		b.endBatch(BatchDone, []TaskResult{{Status: TaskError}})
+		b.advance(25 * time.Millisecond)
+		b.want("stage that runs", b.completeOn("encode-a").Stage, 0)
+		b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, released...)
+		b.wantInputs("the last stage", b.completeOn("encode-a").Inputs, 1, "x")
+	}
+}
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -188,8 +188,13 @@
 }
 
 // advance queues the stages whose inputs exist, unless it is too early for them, releases
-// results that are no longer needed, and grants the job once all its results exist.
+// results that are no longer needed, and grants the job once all its results exist. If one has to be
+// made from released results, all stages are run again.
 func (h *Scheduler) advance(j *job) {
+	if j.needsReleased() {
+		h.restartStages(j)
+		return
+	}
 	for _, s := range j.stages {
 		if !s.started && s.remaining > 0 && j.ready(s) && !h.tooEarly(j, s) {
 			h.start(j, s)
