core/placement: no grant with results of a process that ended

A request that its model server did not run is granted to another one with the results that it had. If a stage server had started again in between, those results were gone: the grant was lost at least (409), and a process that counts its handles anew could hold another request's result under one of them (MIXED). The check of restarts passes over granted requests, as their results are with the model server already.

A request is granted again only if no process with one of its results is known to have ended; otherwise its stages run again, as after a 409. TestGrantedAgainAfterRestart failed before (a second grant at once with the old handles) and passes. That handles repeat after a restart has not been seen.

--- a/core/placement/job.go
+++ b/core/placement/job.go
@@ -91,3 +91,8 @@
 	}
 	return l
 }
+
+// lost reports whether the process that holds one of the results has ended.
+func (s *jobStage) lost() bool {
+	return slices.ContainsFunc(s.tasks, func(p *task) bool { return p.stageServer != nil && p.stageServer.lost })
+}
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -81,3 +81,17 @@
 		b.wantInputs("the last stage", b.completeOn("encode-a").Inputs, 1, "x")
 	}
 }
+
+// A request is granted again after the server with its results restarted: not with the handles that it
+// had, which a new process may give to others.
+func TestGrantedAgainAfterRestart(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "model-a", "model-b")
+	b.submit("1", 2, mebibyte, nil)
+	b.completeOn("encode-a")
+	b.restart("encode-a")
+	b.submit("1", 2, mebibyte, func(a *Request) { a.Attempt, a.Retry = 1, true })
+	b.want("decisions before the stage ran again", len(b.decisions), 1)
+	b.completeOn("encode-a")
+	b.wantInputs("the second grant", b.decisions[1].Inputs, 2, b.decisions[0].Inputs...)
+}
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	for _, s := range j.stages {
-		if s.released && len(s.tasks) > 0 && !j.hasFollower(s.index) {
+		if !j.hasFollower(s.index) && (s.released && len(s.tasks) > 0 || s.lost()) {
 			return false
 		}
 	}
