core/placement: results of a batch count only if their server has not started again

A batch is in progress while its server starts again under its id: the answer may be that of the process that ended, whose results went with it, yet they were taken as stored, on a state that is no longer watched. The next stage or the model server then looked for handles that do not exist, or that the new process gave to others, if it counts anew (MIXED). Results of ended batches of that server were already made again.

The tasks of such a batch run again, as after a broken one. TestBatchOfEndedProcess failed before (granted with the handles of the process before) and passes.

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -18,7 +18,7 @@
 )
 
 // OnBatch handles the end of a batch. The results are those of its tasks, in order; there
-// are none unless the status is BatchDone.
+// are none unless the status is BatchDone. Those of a server that has started again since may be gone.
 func (h *Scheduler) OnBatch(number uint64, status BatchStatus, results []TaskResult) {
 	h.init()
 	c := h.batches[number]
@@ -28,7 +28,7 @@
 	delete(h.batches, number)
 	c.stageServer.batches--
 	h.observeBatch(c, status)
-	if status != BatchDone || len(results) != len(c.tasks) {
+	if status != BatchDone || len(results) != len(c.tasks) || c.stageServer.lost {
 		results = make([]TaskResult, len(c.tasks))
 		for i := range results {
 			results[i].Status = TaskError
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -95,3 +95,15 @@
 	b.completeOn("encode-a")
 	b.wantInputs("the second grant", b.decisions[1].Inputs, 2, b.decisions[0].Inputs...)
 }
+
+// A batch ends well after its server restarted: the results may be those of the process that ended.
+func TestBatchOfEndedProcess(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "model-a")
+	b.submit("1", 2, mebibyte, nil)
+	b.restart("encode-a")
+	b.completeBatch()
+	b.want("decisions", len(b.decisions), 0)
+	b.completeOn("encode-a")
+	b.wantInputs("the grant", b.decisions[0].Inputs, 2, "encodea:1/1", "encodea:1/2")
+}
