core/placement: a server with results is remembered while its entry is gone

The entry of a stage server vanishes, and returns with another start. Its state was dropped with the entry, so the new process was not known to be another one: the results of the one before stayed with the requests, whose next stages looked for handles that do not exist or, if the process counts anew, belong to others (MIXED).

The state is kept until nothing of it is reserved, which is at the latest when the results have passed their TTL; nothing is released at a server without an entry, as before. TestServerReturnsWithNewProcess failed before (second stage sent with the old handles) and passes.

--- a/core/placement/capacity.go
+++ b/core/placement/capacity.go
@@ -64,11 +64,11 @@
 	}
 }
 
-// releasing returns the servers, sorted by ID, to which results can be released now.
+// releasing returns the registered servers, sorted by ID, to which results can be released now.
 func (q *stagePool) releasing(now time.Time) []*stageServer {
 	var l []*stageServer
 	for _, m := range q.stageServers {
-		if !m.releasing && len(m.releasable) > 0 && !now.Before(m.releaseAfter) {
+		if !m.releasing && !m.unregistered && len(m.releasable) > 0 && !now.Before(m.releaseAfter) {
 			l = append(l, m)
 		}
 	}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -59,6 +59,7 @@
 	backoff        time.Duration
 	timeRatio      float64 // measured over expected batch time, smoothed; 0: not measured yet
 	lost           bool    // its process ended and its results with it
+	unregistered   bool    // its entry is gone; kept to tell whether the same process returns
 }
 
 // unusedResult is a stored result that is no longer needed.
@@ -101,7 +102,7 @@
 	return l
 }
 
-// prune removes the state of servers that are no longer registered and run nothing.
+// prune removes the state of servers that are no longer registered, run nothing and hold nothing.
 func (h *Scheduler) prune() {
 	v := h.View()
 	known := map[string]bool{}
@@ -117,7 +118,8 @@
 	}
 	for _, q := range h.pools {
 		for id, m := range q.stageServers {
-			if !known[id] && m.batches == 0 {
+			m.unregistered = !known[id]
+			if m.unregistered && m.batches == 0 && m.reserved == 0 {
 				delete(q.stageServers, id)
 				q.nearestView = nil
 			}
