--- a/core/placement/job.go
+++ b/core/placement/job.go
@@ -92,6 +92,13 @@
 	return l
 }
 
+// sameResults reports whether the stages of two requests with the same ID have the same results.
+func (a *Request) sameResults(b *Request) bool {
+	return a.InputKey == b.InputKey && slices.EqualFunc(a.Stages, b.Stages, func(s, t StageRequest) bool {
+		return s.Service == t.Service && s.Tasks == t.Tasks && slices.Equal(s.After, t.After)
+	})
+}
+
 // lost reports whether the process that holds one of the results has ended.
 func (s *jobStage) lost() bool {
 	return slices.ContainsFunc(s.tasks, func(p *task) bool { return p.stageServer != nil && p.stageServer.lost })
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -124,3 +124,16 @@
 	b.want("stage that runs", b.completeOn("encode-a").Stage, 0)
 	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/2", "encodea:1/1")
 }
+
+// Two requests in progress have the same id, against the rules: none is granted with the results of the other.
+func TestRepeatedID(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "model-a", "model-b")
+	b.submit("1", 2, mebibyte, nil)
+	b.completeOn("encode-a")
+	b.submit("1", 2, mebibyte, func(a *Request) { a.InputKey = "another" })
+	b.completeOn("encode-a")
+	b.submit("1", 2, mebibyte, func(a *Request) { a.Attempt, a.Retry = 1, true })
+	b.completeOn("encode-a")
+	b.wantInputs("the first request's second grant", b.decisions[2].Inputs, 2, b.decisions[1].Inputs...)
+}
