io/backend: a connection is closed after a response without the id of its call

A refusal names no call, so its copy counted as the refusal of the next call on the kept connection, which the server went on to run; and the response to that call, then due, was met by the one after it as 'crossed', and so on, until a pause. No output reached another call, as those carry the id.

After an error status, or a body that is not the call's own, the connection is closed, and a call that took it meanwhile fails before its first byte is written. TestRepeatedRefusal failed before (the second call got the status of the first) and TestServedWhileResponsesRepeat served 7 of 20 calls, now 10 and more, as a copy costs only the call that meets it.

--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -3,14 +3,14 @@
 // are called over JSON.
 //
 // A response that is late, truncated, without its end marker or that belongs to
-// another call is never passed on. No call is sent twice, and every error states
-// whether a byte of the call may have been written.
+// another call is never passed on, and after one without the ID of its call the
+// connection is closed. No call is sent twice, and every error states whether a byte of
+// the call may have been written.
 package backend
 
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -173,7 +173,7 @@
 		return x, nil, x.transportError(err)
 	}
 	if p.StatusCode != http.StatusOK && p.StatusCode != http.StatusNoContent {
-		_, _ = io.CopyN(io.Discard, p.Body, 4096)
+		x.gate.discard()
 		_ = p.Body.Close()
 		e := x.newError(Status, nil)
 		e.Code = p.StatusCode
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -55,6 +55,9 @@
 		}
 		return nil
 	}
+	if c.discarded.Load() {
+		return errDiscarded
+	}
 	if s.sendBy > 0 && s.clock.Elapsed(s.requestedAt) > s.sendBy {
 		s.state.CompareAndSwap(stateUnsent, stateTooLate)
 		return errTooLate
@@ -87,9 +90,19 @@
 // of its own reader types, which doubles the writes here and the reads at the server.
 type conn struct {
 	net.Conn
-	gate     atomic.Pointer[sendGate]
-	head     []byte // buffered headers, to be written with the body
-	headGate *sendGate
+	gate      atomic.Pointer[sendGate]
+	head      []byte // buffered headers, to be written with the body
+	headGate  *sendGate
+	discarded atomic.Bool // no further call may be written
+}
+
+// discard closes the connection of a call, also if net/http keeps it for another one. It is for responses
+// without the ID of the call: they may be copies of earlier ones, with the call's own still to come.
+func (s *sendGate) discard() {
+	if c := s.conn.Load(); c != nil {
+		c.discarded.Store(true)
+		_ = c.Close() // not used again
+	}
 }
 
 // Write writes p if the current call may be sent.
--- a/io/backend/errors.go
+++ b/io/backend/errors.go
@@ -66,9 +66,10 @@
 
 // Errors that conn returns to net/http instead of writing.
 var (
-	errTooLate = errors.New("send-by has passed")
-	errResend  = errors.New("the call was already sent on another connection")
-	errGivenUp = errors.New("the call was given up")
+	errTooLate   = errors.New("send-by has passed")
+	errResend    = errors.New("the call was already sent on another connection")
+	errGivenUp   = errors.New("the call was given up")
+	errDiscarded = errors.New("the connection may hold the response to another call")
 )
 
 // ErrFencing is the cause of the error if an order was refused because of its fencing
--- a/io/backend/json.go
+++ b/io/backend/json.go
@@ -67,7 +67,11 @@
 	if ctx.Err() != nil {
 		return a, x.newError(Late, context.Cause(ctx))
 	}
-	return a, x.parse(body, &a)
+	err = x.parse(body, &a)
+	if err != nil {
+		x.gate.discard()
+	}
+	return a, err
 }
 
 var closingBrace = []byte("}")
--- /dev/null
+++ b/io/backend/repeated_test.go
@@ -0,0 +1,81 @@
+package backend
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotspring/io/standin"
+)
+
+// withRepeater is withServer with a server that sends each response once more, when the next request
+// arrives on its connection.
+func withRepeater(t *testing.T, h http.Handler, f func(t *testing.T, c *Client)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &standin.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}
+		l, err := n.Listen("s:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var r standin.Repeater
+		r.On.Store(true)
+		s := &http.Server{Handler: h}
+		go func() { _ = s.Serve(r.Wrap(l)) }()
+		base := time.Now()
+		c := &Client{Dial: n.Dialer("node"), Clock: Clock{Boot: func() time.Duration { return time.Since(base) }}}
+		f(t, c)
+		c.Close()
+		_ = s.Close()
+		time.Sleep(2 * time.Minute)
+	})
+}
+
+// A server refuses one call, and sends the refusal once more when the next call arrives: only the call
+// that it refused counts as refused.
+func TestRepeatedRefusal(t *testing.T) {
+	for _, text := range []string{"", "busy"} {
+		j := &standin.JSON{Service: 10 * time.Millisecond}
+		serve, calls := j.Handler(), 0
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if calls++; calls > 1 {
+				serve.ServeHTTP(w, r)
+				return
+			}
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = w.Write([]byte(text))
+		})
+		withRepeater(t, h, func(t *testing.T, c *Client) {
+			for i := range 4 {
+				_, err := c.Invoke(t.Context(), &Call{ID: fmt.Sprint("c", i), Address: "s:80"}, "encode", []byte(`"x"`))
+				if got, _ := kindOf(err); (got == Status) != (i == 0) {
+					t.Errorf("text %q, call %d: %v", text, i, err)
+				}
+				synctest.Wait() // until net/http has seen which connections are closed
+			}
+		})
+	}
+}
+
+// A server sends each response once more: a copy costs the call that meets it, not those after it.
+func TestServedWhileResponsesRepeat(t *testing.T) {
+	s := &standin.JSON{Service: 10 * time.Millisecond}
+	served := 0
+	withRepeater(t, s.Handler(), func(t *testing.T, c *Client) {
+		for i := range 20 {
+			id := fmt.Sprintf(`"x%d"`, i)
+			a, err := c.Invoke(t.Context(), &Call{ID: "c" + id, Address: "s:80"}, "encode", []byte(id))
+			if err == nil {
+				served++
+			}
+			if err == nil && string(a.Output) != id {
+				t.Errorf("call %s got %s", id, a.Output)
+			}
+			synctest.Wait() // until net/http has seen which connections are closed
+		}
+	})
+	if served < 10 {
+		t.Errorf("got %d of 20 calls served, want 10 at least", served)
+	}
+}
