io/backend: load reports come over new connections

A report of a server's load names no request. On a kept connection, a late copy of an earlier report was taken for this one: whether the server is cold, its calls in flight and what it runs, which decides on permits and orders, were those of the query before.

Each report comes over a connection of its own, as orders and cancellations do. TestRepeatedLoadReport failed before (cold after the server was warm) and passes. TestNoSilentResend used Load for a GET on a reused connection; it sends that GET itself now, with the same checks, and fails as before without errResend.

--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -138,10 +138,18 @@
 		_, _ = w.Write([]byte(`{"inflight":0,"cold":false}`))
 	})
 	withServer(t, h, func(t *testing.T, n *standin.Network, c *Client) {
-		if _, err := c.Load(t.Context(), "s:80"); err != nil {
+		get := func() error {
+			_, r, err := c.send(t.Context(), &Call{Address: "s:80"}, http.MethodGet, "/v1/load", nil)
+			if err != nil {
+				return err
+			}
+			_, err = readBody(r)
+			return errors.Join(err, r.Body.Close())
+		}
+		if err := get(); err != nil {
 			t.Fatal(err)
 		}
-		_, err := c.Load(t.Context(), "s:80")
+		err := get()
 		if f, sent := kindOf(err); f != Broken || !sent {
 			t.Errorf("error = %v, want broken and sent", err)
 		}
--- a/io/backend/control.go
+++ b/io/backend/control.go
@@ -28,11 +28,12 @@
 // controlTimeout bounds a load request.
 const controlTimeout = time.Second
 
-// Load requests a load report from a server.
+// Load requests a load report from a server, on a new connection: reports name no request, so on a kept
+// one a copy of an earlier report could not be told from this one.
 func (c *Client) Load(ctx context.Context, address string) (LoadReport, error) {
 	ctx, stop := context.WithTimeout(ctx, controlTimeout)
 	defer stop()
-	x, r, err := c.send(ctx, &Call{Address: address}, http.MethodGet, "/v1/load", nil)
+	x, r, err := c.send(ctx, &Call{Address: address, Fresh: true}, http.MethodGet, "/v1/load", nil)
 	if err != nil {
 		return LoadReport{}, err
 	}
--- a/io/backend/repeated_test.go
+++ b/io/backend/repeated_test.go
@@ -79,3 +79,16 @@
 		t.Errorf("got %d of 20 calls served, want 10 at least", served)
 	}
 }
+
+// A load report is that of now, not a copy of an earlier one.
+func TestRepeatedLoadReport(t *testing.T) {
+	e := &standin.Engine{}
+	withRepeater(t, e.Handler(), func(t *testing.T, c *Client) {
+		for _, cold := range []bool{true, false, true} {
+			e.SetCold(cold)
+			if l, err := c.Load(t.Context(), "s:80"); l.Cold != cold || err != nil {
+				t.Errorf("got %+v, %v, want cold %v", l, err, cold)
+			}
+		}
+	})
+}
