io/backend: a connection is closed after a stream that failed

A model server sends a stream once more, late: the next call on the kept connection meets the copy, takes no token of it, as they carry another id, and fails with its end marker. But net/http had read the copy to its end, so the connection went back to the pool with the call's own response still due, and the retry met that one: cancelled and empty ('no_end'). A caller could lose all attempts of a generation to one server's copies.

The connection is closed after any stream that did not end well. TestRepeatedOrderResponse is new, too: it fails if orders use kept connections (the refused order counted as accepted).

--- a/io/backend/completion.go
+++ b/io/backend/completion.go
@@ -62,7 +62,9 @@
 	x, resp, err := c.send(ctx, k, http.MethodPost, "/v1/completions", p)
 	s.exchange = x
 	if err == nil {
-		err = s.read(resp)
+		if err = s.read(resp); err != nil {
+			x.gate.discard()
+		}
 		_ = resp.Body.Close()
 	}
 	s.times.Service = x.gate.service()
--- a/io/backend/repeated_test.go
+++ b/io/backend/repeated_test.go
@@ -1,12 +1,14 @@
 package backend
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"bergamotspring/core/stage"
 	"bergamotspring/io/standin"
 )
 
@@ -92,3 +94,37 @@
 		}
 	})
 }
+
+// An order is answered by its own response, not by a copy of that to an earlier order.
+func TestRepeatedOrderResponse(t *testing.T) {
+	withRepeater(t, (&standin.Engine{ChecksFencing: true}).Handler(), func(t *testing.T, c *Client) {
+		for _, o := range []struct {
+			fencing uint64
+			want    error
+		}{{5, nil}, {4, ErrFencing}, {5, nil}} {
+			if err := c.Order(t.Context(), "s:80", Order{Fencing: o.fencing}); !errors.Is(err, o.want) {
+				t.Errorf("order %d = %v, want %v", o.fencing, err, o.want)
+			}
+		}
+	})
+}
+
+// A copy of an earlier stream adds no token to the next one, and costs it one attempt at most.
+func TestRepeatedStream(t *testing.T) {
+	e := &standin.Engine{Prefill: 10 * time.Millisecond, Gap: time.Millisecond}
+	withRepeater(t, e.Handler(), func(t *testing.T, c *Client) {
+		for i := range 6 {
+			var a stage.Assembler
+			r := &Completion{Prompt: fmt.Appendf(nil, `"p%d"`, i), MaxTokens: 5, FirstTimeout: time.Second, Token: func(int, []byte) error { return nil }}
+			_, err := c.Complete(t.Context(), &Call{ID: fmt.Sprint("c", i), Address: "s:80"}, r, &a)
+			if err != nil {
+				synctest.Wait()
+				_, err = c.Complete(t.Context(), &Call{ID: fmt.Sprint("d", i), Address: "s:80"}, r, &a)
+			}
+			if want := standin.Text(fmt.Sprint("p", i), 5); string(a.Text) != want || err != nil {
+				t.Errorf("stream %d: got %q, %v, want %q", i, a.Text, err, want)
+			}
+			synctest.Wait()
+		}
+	})
+}
