io/backend: a call that meets a connection just closed goes over a new one

net/http takes a moment to see that a connection was closed, and can hand it to the next call meanwhile, which then failed unsent ('the connection may hold the response to another call').

Such a call, of which certainly nothing was written, is sent on a new connection by the same gate, which still allows one connection at most.

--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -168,7 +168,7 @@
 	if k.Fresh || k.Key != "" {
 		t = c.fresh
 	}
-	p, err := t.RoundTrip(r)
+	p, err := x.roundTrip(t, r, body)
 	if err != nil {
 		return x, nil, x.transportError(err)
 	}
@@ -182,6 +182,24 @@
 	return x, p, nil
 }
 
+// roundTrip sends a request. If its connection was discarded before the first byte was written, it uses a
+// new one.
+func (x *exchange) roundTrip(t *http.Transport, r *http.Request, body *parts) (*http.Response, error) {
+	var b parts
+	if body != nil {
+		b = *body // net/http may read from the original
+	}
+	p, err := t.RoundTrip(r)
+	if err == nil || !x.gate.gotDiscarded() {
+		return p, err
+	}
+	r = r.Clone(r.Context())
+	if body != nil {
+		r.Body = &parts{b[0], b[1], b[2]}
+	}
+	return x.client.fresh.RoundTrip(r)
+}
+
 // jsonHeader holds the headers of calls without an operation key. It is shared and must
 // not be modified.
 var (
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -25,10 +25,11 @@
 	requestedAt Mark
 	sendBy      time.Duration
 	state       atomic.Int32
-	conn        atomic.Pointer[conn]
-	connected   atomic.Bool // net/http obtained a connection
-	reused      atomic.Bool // the connection was used by an earlier call
-	body        bool        // the request has a body
+	got         atomic.Pointer[conn] // that net/http obtained last
+	conn        atomic.Pointer[conn] // that the call was written on
+	connected   atomic.Bool          // net/http obtained a connection
+	reused      atomic.Bool          // the connection was used by an earlier call
+	body        bool                 // the request has a body
 	start       time.Time
 	trace       httptrace.ClientTrace
 }
@@ -43,6 +44,7 @@
 	s.connected.Store(true)
 	s.reused.Store(i.Reused)
 	if c, ok := i.Conn.(*conn); ok {
+		s.got.Store(c)
 		c.gate.Store(s)
 	}
 }
@@ -70,6 +72,12 @@
 	return nil
 }
 
+// gotDiscarded reports whether the call is unsent since its connection was discarded.
+func (s *sendGate) gotDiscarded() bool {
+	c := s.got.Load()
+	return c != nil && c.discarded.Load() && s.state.Load() == stateUnsent
+}
+
 // giveUp prevents the call from being sent from now on and reports whether a byte may
 // already have been written.
 func (s *sendGate) giveUp() (sent bool) {
