--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -119,11 +119,11 @@
 // results, and reports whether the job and its results still exist.
 func (h *Scheduler) regrant(a Request) bool {
 	j := h.jobs[a.ID]
-	if j == nil || j.granted == nil {
+	if j == nil || j.granted == nil || !j.request.sameResults(&a) {
 		return false
 	}
 	for _, s := range j.stages {
-		if s.released && len(s.tasks) > 0 && !j.hasFollower(s.index) {
+		if !j.hasFollower(s.index) && (s.released && len(s.tasks) > 0 || s.lost()) {
 			return false
 		}
 	}
@@ -188,8 +188,13 @@
 }
 
 // advance queues the stages whose inputs exist, unless it is too early for them, releases
-// results that are no longer needed, and grants the job once all its results exist.
+// results that are no longer needed, and grants the job once all its results exist. If one has to be
+// made from released results, all stages are run again.
 func (h *Scheduler) advance(j *job) {
+	if j.needsReleased() {
+		h.restartStages(j)
+		return
+	}
 	for _, s := range j.stages {
 		if !s.started && s.remaining > 0 && j.ready(s) && !h.tooEarly(j, s) {
 			h.start(j, s)
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -138,10 +139,18 @@
 		_, _ = w.Write([]byte(`{"inflight":0,"cold":false}`))
 	})
 	withServer(t, h, func(t *testing.T, n *standin.Network, c *Client) {
-		if _, err := c.Load(t.Context(), "s:80"); err != nil {
+		get := func() error {
+			_, r, err := c.send(t.Context(), &Call{Address: "s:80"}, http.MethodGet, "/v1/load", nil)
+			if err != nil {
+				return err
+			}
+			_, err = readBody(r)
+			return errors.Join(err, r.Body.Close())
+		}
+		if err := get(); err != nil {
 			t.Fatal(err)
 		}
-		_, err := c.Load(t.Context(), "s:80")
+		err := get()
 		if f, sent := kindOf(err); f != Broken || !sent {
 			t.Errorf("error = %v, want broken and sent", err)
 		}
@@ -156,6 +165,7 @@
 func TestNonIdempotentCall(t *testing.T) {
 	var keys []string
 	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // else the connection may be closed before the request is written
 		keys = append(keys, r.Header.Get("Idempotency-Key")+r.Header.Get("X-Operation-Key"))
 		http.Redirect(w, r, "/v1/other", http.StatusTemporaryRedirect)
 	})
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -3,14 +3,14 @@
 // are called over JSON.
 //
 // A response that is late, truncated, without its end marker or that belongs to
-// another call is never passed on. No call is sent twice, and every error states
-// whether a byte of the call may have been written.
+// another call is never passed on, and after one without the ID of its call the
+// connection is closed. No call is sent twice, and every error states whether a byte of
+// the call may have been written.
 package backend
 
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -168,12 +168,12 @@
 	if k.Fresh || k.Key != "" {
 		t = c.fresh
 	}
-	p, err := t.RoundTrip(r)
+	p, err := x.roundTrip(t, r, body)
 	if err != nil {
 		return x, nil, x.transportError(err)
 	}
 	if p.StatusCode != http.StatusOK && p.StatusCode != http.StatusNoContent {
-		_, _ = io.CopyN(io.Discard, p.Body, 4096)
+		x.gate.discard()
 		_ = p.Body.Close()
 		e := x.newError(Status, nil)
 		e.Code = p.StatusCode
@@ -182,6 +182,24 @@
 	return x, p, nil
 }
 
+// roundTrip sends a request. If its connection was discarded before the first byte was written, it uses a
+// new one.
+func (x *exchange) roundTrip(t *http.Transport, r *http.Request, body *parts) (*http.Response, error) {
+	var b parts
+	if body != nil {
+		b = *body // net/http may read from the original
+	}
+	p, err := t.RoundTrip(r)
+	if err == nil || !x.gate.gotDiscarded() {
+		return p, err
+	}
+	r = r.Clone(r.Context())
+	if body != nil {
+		r.Body = &parts{b[0], b[1], b[2]}
+	}
+	return x.client.fresh.RoundTrip(r)
+}
+
 // jsonHeader holds the headers of calls without an operation key. It is shared and must
 // not be modified.
 var (
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -25,10 +25,11 @@
 	requestedAt Mark
 	sendBy      time.Duration
 	state       atomic.Int32
-	conn        atomic.Pointer[conn]
-	connected   atomic.Bool // net/http obtained a connection
-	reused      atomic.Bool // the connection was used by an earlier call
-	body        bool        // the request has a body
+	got         atomic.Pointer[conn] // that net/http obtained last
+	conn        atomic.Pointer[conn] // that the call was written on
+	connected   atomic.Bool          // net/http obtained a connection
+	reused      atomic.Bool          // the connection was used by an earlier call
+	body        bool                 // the request has a body
 	start       time.Time
 	trace       httptrace.ClientTrace
 }
@@ -43,6 +44,7 @@
 	s.connected.Store(true)
 	s.reused.Store(i.Reused)
 	if c, ok := i.Conn.(*conn); ok {
+		s.got.Store(c)
 		c.gate.Store(s)
 	}
 }
@@ -55,6 +57,9 @@
 		}
 		return nil
 	}
+	if c.discarded.Load() {
+		return errDiscarded
+	}
 	if s.sendBy > 0 && s.clock.Elapsed(s.requestedAt) > s.sendBy {
 		s.state.CompareAndSwap(stateUnsent, stateTooLate)
 		return errTooLate
@@ -67,6 +72,12 @@
 	return nil
 }
 
+// gotDiscarded reports whether the call is unsent since its connection was discarded.
+func (s *sendGate) gotDiscarded() bool {
+	c := s.got.Load()
+	return c != nil && c.discarded.Load() && s.state.Load() == stateUnsent
+}
+
 // giveUp prevents the call from being sent from now on and reports whether a byte may
 // already have been written.
 func (s *sendGate) giveUp() (sent bool) {
@@ -87,9 +98,19 @@
 // of its own reader types, which doubles the writes here and the reads at the server.
 type conn struct {
 	net.Conn
-	gate     atomic.Pointer[sendGate]
-	head     []byte // buffered headers, to be written with the body
-	headGate *sendGate
+	gate      atomic.Pointer[sendGate]
+	head      []byte // buffered headers, to be written with the body
+	headGate  *sendGate
+	discarded atomic.Bool // no further call may be written
+}
+
+// discard closes the connection of a call, also if net/http keeps it for another one. It is for responses
+// without the ID of the call: they may be copies of earlier ones, with the call's own still to come.
+func (s *sendGate) discard() {
+	if c := s.conn.Load(); c != nil {
+		c.discarded.Store(true)
+		_ = c.Close() // not used again
+	}
 }
 
 // Write writes p if the current call may be sent.
