Streams: one that ends inside an event has broken off

A stream may have neither length nor chunks and end with its connection, so a server that stops in the middle of an event looks like one that is done. finish forwarded what follows the last event as it is and counted the stream as complete.

What follows the last event must now be empty or a whole comment. Else the stream has broken off: it is resumed after the last whole event where the route allows that, and the caller's stream is aborted where not. An event without its empty line was never delivered by a client of event streams, so nothing that was whole is lost. A stream without any event has broken off if it has no length or chunks: an empty body is what a server leaves that dies after its head. With a length or chunks it is forwarded as it is.

Lines may end with CR alone. Such events were found only at the end of the stream; now each is forwarded as it arrives, and ids are read from such lines. A CR that ends the bytes so far, after a line that ends with LF, waits for its LF.

TestStreamEndsInsideEvent failed before in all of its 26 cases, e.g. 'got 200 <nil> "...id: 3\nda" after 1 runs', and passes; TestWholeStreams guards the opposite. New cases of TestWholeEvents with CR failed before.

--- /dev/null
+++ b/io/edge/cutstreams_test.go
@@ -0,0 +1,91 @@
+package edge
+
+// This file tests responses that end before they are whole.
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	platformstandin "bergamotspring/platform/standin"
+)
+
+// rawOnce makes the next of the servers of a kind that runs a request send what raw returns, and close.
+func (w *testFleet) rawOnce(kind string, raw func(platformstandin.Run) string) {
+	var once sync.Once
+	for _, d := range []string{"a", "b", "c"} {
+		w.servers[kind+"-"+d].Raw = func(x platformstandin.Run) (b string) {
+			once.Do(func() { b = raw(x) })
+			return b
+		}
+	}
+}
+
+// head returns the head of a response to a run, with the given lines in addition.
+func head(x platformstandin.Run, status string, lines ...string) string {
+	l := append([]string{"HTTP/1.1 " + status, "X-Bergamotspring-Request-Id: " + x.ID, "X-Bergamotspring-Server-Stamp: raw"}, lines...)
+	return strings.Join(l, "\r\n") + "\r\n\r\n"
+}
+
+const eventStream = "Content-Type: text/event-stream"
+
+// framings returns a response to a run that ends with its connection, one with a length and one in chunks.
+func framings(x platformstandin.Run, status, body string, lines ...string) map[string]string {
+	return map[string]string{
+		"neither": head(x, status, lines...) + body,
+		"length":  head(x, status, append(lines, fmt.Sprint("Content-Length: ", len(body)))...) + body,
+		"chunks":  head(x, status, append(lines, "Transfer-Encoding: chunked")...) + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+	}
+}
+
+// A stream that ends inside an event, or without length and chunks before its first one, was broken off,
+// however it is framed: it is resumed where that is allowed, and else ends broken for the caller too.
+func TestStreamEndsInsideEvent(t *testing.T) {
+	two := fullStream(2)
+	for _, c := range []struct {
+		body   string
+		framed bool // broken off also with a length or chunks
+	}{
+		{two + "id: 3\nda", true}, {two + "id: 3\ndata: 3\n", true}, {two + "id: 3\ndata: 3", true}, {two + "i", true},
+		{"id: 1\ndata: 1", true}, {"overloaded", true}, {"", false}, {": hello\n\n", false},
+		{strings.ReplaceAll(two, "\n", "\r\n") + "id: 3\r\ndata: 3\r\n", true}, {strings.ReplaceAll(two, "\n", "\r") + "id: 3\rdata: 3\r", true},
+	} {
+		for _, framing := range []string{"neither", "length", "chunks"} {
+			if framing != "neither" && !c.framed {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s %q", framing, c.body), func(t *testing.T) {
+				runFleet(t, func(w *testFleet) {
+					raw := func(x platformstandin.Run) string { return framings(x, "200 OK", c.body, eventStream)[framing] }
+					w.rawOnce("model", raw)
+					r := w.stream("a1", "/draft/x", "resumed")
+					got := strings.ReplaceAll(strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(r.body), ": hello\n\n", "")
+					if r.status != 200 || r.err != nil || got != fullStream(6) || w.runCount("resumed") != 2 {
+						t.Errorf("resumable: got %d %v %q after %d runs", r.status, r.err, r.body, w.runCount("resumed"))
+					}
+					w.rawOnce("model", raw)
+					if r := w.stream("a1", "/once/x", "once"); r.err == nil && r.status == 200 || w.runCount("once") != 1 {
+						t.Errorf("not resumable: got %d %v %q after %d runs, want none that looks whole", r.status, r.err, r.body, w.runCount("once"))
+					}
+				})
+			})
+		}
+	}
+}
+
+// A stream that ends after an event is whole, whatever its framing and line ends, also with a comment
+// after its last event.
+func TestWholeStreams(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n", "\r"} {
+		for _, framing := range []string{"neither", "length", "chunks"} {
+			runFleet(t, func(w *testFleet) {
+				body := strings.ReplaceAll(fullStream(6)+": end\n", "\n", end)
+				w.rawOnce("model", func(x platformstandin.Run) string { return framings(x, "200 OK", body, eventStream)[framing] })
+				if r := w.stream("a1", "/once/x", "once"); r.status != 200 || r.err != nil || r.body != body || w.runCount("once") != 1 {
+					t.Errorf("%s, %q: got %d %v %q after %d runs", framing, end, r.status, r.err, r.body, w.runCount("once"))
+				}
+			})
+		}
+	}
+}
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -53,6 +53,9 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, -1 if unknown.
 	Length int64
+	// Framed reports that the body has a length or chunks. Without them it ends with its connection, and
+	// its end does not prove that it is complete.
+	Framed bool
 }
 
 // UnsentError reports a request of which the server cannot have read any byte.
@@ -101,7 +104,7 @@
 	if a.ContentLength == 0 || a.Body == http.NoBody {
 		b.end(nil)
 	}
-	return &Response{Status: a.StatusCode, Header: a.Header, Body: b, Length: a.ContentLength}, nil
+	return &Response{Status: a.StatusCode, Header: a.Header, Body: b, Length: a.ContentLength, Framed: framed(a)}, nil
 }
 
 // do sends a request and returns its response and the body, at whose end the connection is
@@ -135,7 +138,7 @@
 		c.close()
 		return nil, nil, &BrokenError{Cause: err}
 	}
-	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: !a.Close && reusable(a)}, nil
+	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: !a.Close && framed(a)}, nil
 }
 
 // Identify decides whether a response belongs to a request whose server repeats no header that
@@ -161,7 +164,7 @@
 		}
 		if err == nil {
 			body.conn.seen.add(mark)
-			body.reuse = mark != "" && reusable(a) && !a.Close
+			body.reuse = mark != "" && framed(a) && !a.Close
 		}
 		body.end(err)
 		if err != nil {
@@ -189,14 +192,14 @@
 // skipCopy reads the header of the response that follows a, which is a copy of an earlier one.
 func (c *conn) skipCopy(r *Request, a *http.Response) (*http.Response, error) {
 	c.taint(r, a.StatusCode)
-	if a.Close || !reusable(a) {
+	if a.Close || !framed(a) {
 		return nil, errForeignResponse
 	}
 	return c.readResponse(r)
 }
 
-// reusable reports whether the framing allows another response on the connection.
-func reusable(a *http.Response) bool {
+// framed reports whether the end of a body is known without that of the connection.
+func framed(a *http.Response) bool {
 	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
 }
 
@@ -240,7 +243,7 @@
 		if err := c.skipBody(a); err != nil {
 			return nil, err
 		}
-		if a.Close || !reusable(a) {
+		if a.Close || !framed(a) {
 			return nil, errForeignResponse
 		}
 	}
--- /dev/null
+++ b/io/proxy/events.go
@@ -0,0 +1,57 @@
+package proxy
+
+// This file defines how the events of a stream are found in its bytes.
+
+import "bytes"
+
+// cutLine returns the first line of b without its end, and its length with its end. A line ends with LF,
+// CR LF or CR; the length is 0 if the end is missing.
+func cutLine(b []byte) (line []byte, n int) {
+	i := bytes.IndexAny(b, "\r\n")
+	if i < 0 {
+		return b, 0
+	}
+	n = i + 1
+	if b[i] == '\r' && n < len(b) && b[n] == '\n' {
+		n++
+	}
+	return b[:i], n
+}
+
+// wholeEvents returns the length of the complete events at the start of b. An event ends with an empty
+// line.
+func wholeEvents(b []byte) int {
+	whole := 0
+	for n, last := 0, byte(0); n < len(b); last = b[n-1] {
+		line, k := cutLine(b[n:])
+		if k == 0 || last == '\n' && string(b[n:]) == "\r" {
+			break // the LF of an empty line may be still to come
+		}
+		if n += k; len(line) == 0 {
+			whole = n
+		}
+	}
+	return whole
+}
+
+// hasField reports whether one of the events in b has a field. Comments, which a server may send
+// while it makes no progress, have none.
+func hasField(b []byte) bool {
+	for len(b) > 0 {
+		line, n := cutLine(b)
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+		if n == 0 {
+			return false
+		}
+		b = b[n:]
+	}
+	return false
+}
+
+// insideEvent reports whether a stream that ends with b, after its last whole event, ends inside another
+// event or a line.
+func insideEvent(b []byte) bool {
+	return hasField(b) || len(b) > 0 && b[len(b)-1] != '\n' && b[len(b)-1] != '\r'
+}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -16,7 +16,11 @@
 // maxEvent is the largest event in bytes.
 const maxEvent = 1 << 20
 
-var errEventSize = errors.New("event too large")
+var (
+	errEventSize   = errors.New("event too large")
+	errInsideEvent = errors.New("ended inside an event")
+	errNoEvent     = errors.New("ended before its first event")
+)
 
 // callerError reports that writing to the caller failed.
 type callerError struct {
@@ -39,7 +43,7 @@
 
 // copy forwards events until the response is complete. Only whole events are forwarded; if
 // the response breaks off, a truncated event is dropped, so that a resumed stream can send
-// it whole. What follows the last event of a complete response is forwarded as it is.
+// it whole. A response that ends inside an event has broken off, whatever its framing.
 // onFirst is called before the first event that has a field is forwarded.
 func (s *stream) copy(r *exchange.Response, onFirst func()) error {
 	s.buffer = s.buffer[:0]
@@ -64,7 +68,7 @@
 			return errEventSize
 		}
 		if err == io.EOF {
-			return s.finish(r)
+			return s.finish(r, n > 0)
 		}
 		if err != nil {
 			return err
@@ -79,8 +83,15 @@
 	}
 }
 
-// finish forwards what follows the last event of a complete response.
-func (s *stream) finish(r *exchange.Response) error {
+// finish ends the stream with the response, of which what follows the last event is in the buffer. Without
+// a length or chunks, a response that has no event (started is not set) has broken off.
+func (s *stream) finish(r *exchange.Response, started bool) error {
+	switch {
+	case insideEvent(s.buffer):
+		return errInsideEvent
+	case !started && !r.Framed:
+		return errNoEvent
+	}
 	if len(s.buffer) > 0 || !s.request.headerSent {
 		return s.write(r, s.buffer)
 	}
@@ -111,35 +122,17 @@
 
 // record counts events and saves the id of the last one.
 func (s *stream) record(b []byte) {
-	s.request.events += bytes.Count(b, emptyLine) + bytes.Count(b, emptyLineCR)
-	for line := range bytes.Lines(b) {
+	for len(b) > 0 {
+		line, n := cutLine(b)
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			s.lastEvent = string(bytes.TrimSpace(id))
 		}
-	}
-}
-
-// hasField reports whether one of the events in b has a field. Comments, which a server may send
-// while it makes no progress, have none.
-func hasField(b []byte) bool {
-	for line := range bytes.Lines(b) {
-		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
-			return true
+		if n == 0 {
+			return
 		}
-	}
-	return false
-}
-
-// emptyLine and emptyLineCR end an event, after a line that ends with LF or CR LF.
-var emptyLine, emptyLineCR = []byte("\n\n"), []byte("\n\r\n")
-
-// wholeEvents returns the length of the complete events at the start of b.
-func wholeEvents(b []byte) int {
-	n := 0
-	for _, end := range [][]byte{emptyLine, emptyLineCR} {
-		if i := bytes.LastIndex(b, end); i >= 0 {
-			n = max(n, i+len(end))
+		if len(line) == 0 {
+			s.request.events++
 		}
+		b = b[n:]
 	}
-	return n
 }
--- a/io/proxy/stream_test.go
+++ b/io/proxy/stream_test.go
@@ -13,6 +13,10 @@
 		{"data: a\n\ndata: b\n", "data: a\n\n", true},
 		{"data: a\r\n\r\ndata: b\r\n", "data: a\r\n\r\n", true},
 		{"id: 1\n\nid: 2\r\n\r\nid", "id: 1\n\nid: 2\r\n\r\n", true},
+		{"data: a\r\rdata: b\r", "data: a\r\r", true},
+		{"data: a\r\r\ndata: b", "data: a\r\r\n", true},
+		{"data: a\r\n\r", "", false}, // its LF may be still to come
+		{"data: a\n\rdata", "data: a\n\r", true},
 		{":\r\n\r\n: x\n\n", ":\r\n\r\n: x\n\n", false},
 	} {
 		got := c.stream[:wholeEvents([]byte(c.stream))]
