Streams: what joins a broken one goes on with the next event

Here any status but 200 was safe (forwardWhole takes it for broken once a stream has begun), but a 200 was not: its body was appended, whatever it was. A page of text or HTML, a JSON error, an event without an id, a stream that began again at event 1 or left out one, and an empty body all reached the caller in a stream that ended as complete.

After another server's events, or those that the caller has (Last-Event-Id on a resumable route), the first event must have an id that is the next number; if a server was seen to skip numbers, a larger one. A later event must have a larger id than the one before. Else the server counts as broken: nothing of the event is forwarded, and the next server is asked, or the caller's stream is aborted. A joined response without events must say that it is an event stream. A 200 with another type is no event stream: it is forwarded whole, if nothing was before it; since one without an empty line at its end was answered 502.

Callers now get all six events from the third server, or two and a broken connection.

--- a/io/edge/cutstreams_test.go
+++ b/io/edge/cutstreams_test.go
@@ -11,13 +11,22 @@
 	platformstandin "bergamotspring/platform/standin"
 )
 
-// rawOnce makes the next of the servers of a kind that runs a request send what raw returns, and close.
-func (w *testFleet) rawOnce(kind string, raw func(platformstandin.Run) string) {
-	var once sync.Once
+// rawResponse returns the bytes that a server sends in response to a run.
+type rawResponse func(platformstandin.Run) string
+
+// raw makes the servers of a kind send each of the responses once, in this order, and close.
+func (w *testFleet) raw(kind string, l ...rawResponse) {
+	var mu sync.Mutex
 	for _, d := range []string{"a", "b", "c"} {
-		w.servers[kind+"-"+d].Raw = func(x platformstandin.Run) (b string) {
-			once.Do(func() { b = raw(x) })
-			return b
+		w.servers[kind+"-"+d].Raw = func(x platformstandin.Run) string {
+			mu.Lock()
+			defer mu.Unlock()
+			if len(l) == 0 {
+				return ""
+			}
+			f := l[0]
+			l = l[1:]
+			return f(x)
 		}
 	}
 }
@@ -58,13 +67,13 @@
 			t.Run(fmt.Sprintf("%s %q", framing, c.body), func(t *testing.T) {
 				runFleet(t, func(w *testFleet) {
 					raw := func(x platformstandin.Run) string { return framings(x, "200 OK", c.body, eventStream)[framing] }
-					w.rawOnce("model", raw)
+					w.raw("model", raw)
 					r := w.stream("a1", "/draft/x", "resumed")
 					got := strings.ReplaceAll(strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(r.body), ": hello\n\n", "")
 					if r.status != 200 || r.err != nil || got != fullStream(6) || w.runCount("resumed") != 2 {
 						t.Errorf("resumable: got %d %v %q after %d runs", r.status, r.err, r.body, w.runCount("resumed"))
 					}
-					w.rawOnce("model", raw)
+					w.raw("model", raw)
 					if r := w.stream("a1", "/once/x", "once"); r.err == nil && r.status == 200 || w.runCount("once") != 1 {
 						t.Errorf("not resumable: got %d %v %q after %d runs, want none that looks whole", r.status, r.err, r.body, w.runCount("once"))
 					}
@@ -81,7 +90,7 @@
 		for _, framing := range []string{"neither", "length", "chunks"} {
 			runFleet(t, func(w *testFleet) {
 				body := strings.ReplaceAll(fullStream(6)+": end\n", "\n", end)
-				w.rawOnce("model", func(x platformstandin.Run) string { return framings(x, "200 OK", body, eventStream)[framing] })
+				w.raw("model", func(x platformstandin.Run) string { return framings(x, "200 OK", body, eventStream)[framing] })
 				if r := w.stream("a1", "/once/x", "once"); r.status != 200 || r.err != nil || r.body != body || w.runCount("once") != 1 {
 					t.Errorf("%s, %q: got %d %v %q after %d runs", framing, end, r.status, r.err, r.body, w.runCount("once"))
 				}
--- /dev/null
+++ b/io/edge/joinedstreams_test.go
@@ -0,0 +1,110 @@
+package edge
+
+// This file tests what comes after a stream that broke off.
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	platformstandin "bergamotspring/platform/standin"
+)
+
+// brokenAfterTwo is a stream that breaks off inside its third event.
+func brokenAfterTwo(x platformstandin.Run) string {
+	return head(x, "200 OK", eventStream) + fullStream(2) + "id: 3\nda"
+}
+
+// The next server of a stream that broke off answers with something else than the events that are due, or
+// ends like the first: nothing of it reaches the caller, whose stream goes on at another server, or ends broken
+// if there is none.
+func TestNextServerOfBrokenStreamFails(t *testing.T) {
+	const text, html, other = "no server\n\nno server\n\n", "<p>no server</p>\n\n", "X-Second: 1"
+	from := func(n int) string { return strings.TrimPrefix(fullStream(6), fullStream(n-1)) }
+	for _, c := range []struct {
+		status, body string
+		lines        []string
+	}{
+		{"500 Internal Server Error", text, nil}, {"502 Bad Gateway", html, []string{"Content-Type: text/html"}},
+		{"503 Service Unavailable", text, nil}, {"504 Gateway Timeout", "", nil}, {"400 Bad Request", text, nil}, {"404 Not Found", text, nil},
+		{"429 Too Many Requests", text, []string{"Retry-After: 1"}}, {"500 Internal Server Error", from(3), []string{eventStream}},
+		{"302 Found", text, []string{"Location: /x"}}, {"307 Temporary Redirect", "", []string{"Location: http://10.1.0.4:80/x"}},
+		{"206 Partial Content", from(3), []string{eventStream}},
+		{"200 OK", text, []string{"Content-Type: text/plain"}}, {"200 OK", html, []string{"Content-Type: text/html"}},
+		{"200 OK", `{"error":"no server"}`, []string{"Content-Type: application/json"}}, {"200 OK", "", nil}, {"200 OK", text, nil},
+		{"200 OK", "event: error\ndata: no server\n\n", []string{eventStream}}, {"200 OK", "data: no server\n\n" + from(3), []string{eventStream}},
+		{"200 OK", from(1), []string{eventStream}}, {"200 OK", from(2), []string{eventStream}}, {"200 OK", from(4), []string{eventStream}},
+		{"200 OK", "HTTP/1.1 500 Internal Server Error\r\n\r\nno server\n\n", []string{eventStream}},
+	} {
+		for _, framing := range []string{"neither", "length", "chunks"} {
+			t.Run(fmt.Sprintf("%s %s %q", framing, c.status, c.body), func(t *testing.T) {
+				fails := func(x platformstandin.Run) string {
+					return framings(x, c.status, c.body, append(c.lines[:len(c.lines):len(c.lines)], other)...)[framing]
+				}
+				testJoin(t, fails)
+			})
+		}
+	}
+	for _, status := range []string{"204 No Content", "304 Not Modified"} {
+		t.Run(status, func(t *testing.T) {
+			testJoin(t, func(x platformstandin.Run) string { return head(x, status, other) })
+		})
+	}
+	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "409 Conflict", "421 Misdirected Request"} {
+		t.Run("not run "+status, func(t *testing.T) {
+			testJoin(t, func(x platformstandin.Run) string {
+				return framings(x, status, text, other, "X-Bergamotspring-Not-Executed: 1")["length"]
+			})
+		})
+	}
+}
+
+// testJoin checks the streams of callers whose first server breaks off and whose next ones fail.
+func testJoin(t *testing.T, fails rawResponse) {
+	t.Helper()
+	runFleet(t, func(w *testFleet) {
+		w.configure(2, func(c map[string]any) {
+			for _, r := range c["route-table"].([]any) {
+				if r := r.(map[string]any); r["name"] == "draft" {
+					r["max-attempts"] = 3
+				}
+			}
+		})
+		w.raw("model", brokenAfterTwo, fails)
+		r := w.stream("a1", "/draft/x", "saved")
+		if r.status != 200 || r.err != nil || r.body != fullStream(6) || r.header.Get("X-Second") != "" {
+			t.Errorf("another server: got %d %v %q %v", r.status, r.err, r.body, r.header)
+		}
+		w.raw("model", brokenAfterTwo, fails, fails, fails, fails)
+		r = w.stream("a1", "/draft/x", "lost")
+		if r.status != 200 || r.err == nil || r.body != fullStream(2) || r.header.Get("X-Second") != "" {
+			t.Errorf("no other server: got %d %v %q %v, want two events and a broken stream", r.status, r.err, r.body, r.header)
+		}
+	})
+}
+
+// A caller resumes its stream itself: a server that sends events again that the caller has is not taken for one
+// that goes on.
+func TestServerIgnoresLastEvent(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.raw("model", func(x platformstandin.Run) string { return head(x, "200 OK", eventStream) + fullStream(6) })
+		r := w.stream("a1", "/draft/x", "again", "Last-Event-Id", "4")
+		if want := strings.TrimPrefix(fullStream(6), fullStream(4)); r.status != 200 || r.err != nil || r.body != want {
+			t.Errorf("got %d %v %q, want the events after the fourth", r.status, r.err, r.body)
+		}
+	})
+}
+
+// A response to a streamed request that is no event stream reaches the caller as it is.
+func TestWholeBodyOfStreamedRoute(t *testing.T) {
+	for _, framing := range []string{"neither", "length", "chunks"} {
+		runFleet(t, func(w *testFleet) {
+			w.raw("model", func(x platformstandin.Run) string {
+				return framings(x, "200 OK", `{"a":1}`, "Content-Type: application/json")[framing]
+			})
+			if r := w.stream("a1", "/once/x", "json"); r.status != 200 || r.err != nil || r.body != `{"a":1}` {
+				t.Errorf("%s: got %d %v %q", framing, r.status, r.err, r.body)
+			}
+		})
+	}
+}
--- a/io/proxy/events.go
+++ b/io/proxy/events.go
@@ -1,8 +1,23 @@
 package proxy
 
-// This file defines how the events of a stream are found in its bytes.
+// This file defines how the events of a stream are found in its bytes, and how their ids are followed
+// from one server to the next.
 
-import "bytes"
+import (
+	"bytes"
+	"mime"
+	"net/http"
+	"strconv"
+)
+
+const eventStreamType = "text/event-stream"
+
+// isEventStream reports whether a response may be an event stream: its type says so or is missing.
+func isEventStream(h http.Header) bool {
+	t := h.Get("Content-Type")
+	m, _, err := mime.ParseMediaType(t)
+	return t == "" || err == nil && m == eventStreamType
+}
 
 // cutLine returns the first line of b without its end, and its length with its end. A line ends with LF,
 // CR LF or CR; the length is 0 if the end is missing.
@@ -55,3 +70,37 @@
 func insideEvent(b []byte) bool {
 	return hasField(b) || len(b) > 0 && b[len(b)-1] != '\n' && b[len(b)-1] != '\r'
 }
+
+// eventOrder follows the ids of a stream's events, which increase.
+type eventOrder struct {
+	last  string // id of the last event; empty: none
+	skips bool   // a server skipped numbers
+}
+
+// next reports whether an event with an id may follow the last one, and if so records the id. If joined is set,
+// the event is the first of a server that goes on after another one: where no server skips numbers, its id must
+// be the next number.
+func (o *eventOrder) next(id string, joined bool) bool {
+	last, errLast := strconv.ParseUint(o.last, 10, 64)
+	n, err := strconv.ParseUint(id, 10, 64)
+	numbers := errLast == nil && err == nil
+	if joined && (!numbers || n <= last || n > last+1 && !o.skips) || numbers && n <= last {
+		return false
+	}
+	o.skips = o.skips || numbers && n > last+1
+	o.last = id
+	return true
+}
+
+// eventID returns the id of an event, "" if it has none.
+func eventID(event []byte) string {
+	id := ""
+	for len(event) > 0 {
+		line, n := cutLine(event)
+		if x, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = string(bytes.TrimSpace(x))
+		}
+		event = event[n:]
+	}
+	return id
+}
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -33,7 +33,7 @@
 // generate serves a request for a model service.
 func (q *request) generate(ctx context.Context) {
 	a := q.placementRequest()
-	out := &stream{request: q, lastEvent: q.meta.LastEvent}
+	out := newStream(q)
 	runs := 0
 	for n := 0; n < maxPlacements; n++ {
 		a.Attempt, q.attempt = n, n
@@ -154,7 +154,7 @@
 	}
 	x := Upstream{
 		Server: g.Server.ID, Organisation: q.organisation(), Remaining: q.remaining(), Model: true,
-		Priority: relay.Priority(q.route, q.org), Inputs: g.Inputs, KVSource: g.KVSource, LastEvent: out.lastEvent,
+		Priority: relay.Priority(q.route, q.org), Inputs: g.Inputs, KVSource: g.KVSource, LastEvent: out.order.last,
 	}
 	a := q.send(ctx, &g.Server, x)
 	defer a.close()
@@ -182,7 +182,7 @@
 			return runInputLost
 		}
 		return runRejected
-	case a.response.Status != http.StatusOK || !q.route.Streamed:
+	case a.response.Status != http.StatusOK || !q.route.Streamed || !isEventStream(a.response.Header):
 		return q.forwardWhole(a, g)
 	}
 	return q.forwardStream(caller, out, a, g)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -4,7 +4,6 @@
 // delay.
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -19,6 +18,7 @@
 var (
 	errEventSize   = errors.New("event too large")
 	errInsideEvent = errors.New("ended inside an event")
+	errOrder       = errors.New("event does not follow the last one")
 	errNoEvent     = errors.New("ended before its first event")
 )
 
@@ -35,32 +35,49 @@
 // stream is the event stream to a caller, which may come from several servers in turn.
 type stream struct {
 	request    *request
-	lastEvent  string // id of the last event that was sent to the caller
+	order      eventOrder
+	started    bool // an event with a field was received, here or, as the caller says, by an earlier request
+	joined     bool // the next event is the first of a server that goes on after another one
 	firstEvent time.Time
 	buffer     []byte
 	stallTimer *time.Timer // cancels a stalled attempt; nil if it cannot be resumed elsewhere
 }
 
+// newStream returns the stream of a request, which may go on after an event that its caller has. Whether ids skip
+// numbers is not known then.
+func newStream(q *request) *stream {
+	resumed := q.route.Resumable && q.meta.LastEvent != ""
+	return &stream{request: q, order: eventOrder{last: q.meta.LastEvent, skips: resumed}, started: resumed}
+}
+
 // copy forwards events until the response is complete. Only whole events are forwarded; if
 // the response breaks off, a truncated event is dropped, so that a resumed stream can send
-// it whole. A response that ends inside an event has broken off, whatever its framing.
+// it whole. A response that ends inside an event has broken off, whatever its framing; so has one with
+// an event that does not follow the last one, of this server or an earlier one.
 // onFirst is called before the first event that has a field is forwarded.
 func (s *stream) copy(r *exchange.Response, onFirst func()) error {
 	s.buffer = s.buffer[:0]
+	s.joined = s.started
 	n := 0
 	p := make([]byte, 4<<10)
 	for {
 		k, err := r.Body.Read(p)
 		s.buffer = append(s.buffer, p[:k]...)
-		if end := wholeEvents(s.buffer); end > 0 {
+		if whole := wholeEvents(s.buffer); whole > 0 {
+			end, wrong := s.follow(s.buffer[:whole])
 			if hasField(s.buffer[:end]) {
 				if n++; n == 1 {
 					onFirst()
 				}
 				s.resetStallTimer()
 			}
-			if e := s.write(r, s.buffer[:end]); e != nil {
-				return e
+			if end > 0 {
+				if e := s.write(r, s.buffer[:end]); e != nil {
+					return e
+				}
+			}
+			if wrong != nil {
+				return wrong
 			}
 			s.buffer = append(s.buffer[:0], s.buffer[end:]...)
 		}
@@ -68,7 +85,7 @@
 			return errEventSize
 		}
 		if err == io.EOF {
-			return s.finish(r, n > 0)
+			return s.finish(r, n == 0)
 		}
 		if err != nil {
 			return err
@@ -83,13 +100,14 @@
 	}
 }
 
-// finish ends the stream with the response, of which what follows the last event is in the buffer. Without
-// a length or chunks, a response that has no event (started is not set) has broken off.
-func (s *stream) finish(r *exchange.Response, started bool) error {
+// finish ends the stream with the response, of which what follows the last event is in the buffer. A response
+// without events has broken off if it has neither a length nor chunks, or goes on after another server and does not
+// say that it is an event stream.
+func (s *stream) finish(r *exchange.Response, empty bool) error {
 	switch {
 	case insideEvent(s.buffer):
 		return errInsideEvent
-	case !started && !r.Framed:
+	case empty && (!r.Framed || s.joined && r.Header.Get("Content-Type") == ""):
 		return errNoEvent
 	}
 	if len(s.buffer) > 0 || !s.request.headerSent {
@@ -116,23 +134,27 @@
 	if err := http.NewResponseController(q.out).Flush(); err != nil {
 		return &callerError{Cause: err}
 	}
-	s.record(b)
 	return nil
 }
 
-// record counts events and saves the id of the last one.
-func (s *stream) record(b []byte) {
-	for len(b) > 0 {
-		line, n := cutLine(b)
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastEvent = string(bytes.TrimSpace(id))
-		}
-		if n == 0 {
-			return
+// follow counts whole events and follows their ids. It returns the length of the events before the first one
+// that does not follow the one before it, and an error if there is one.
+func (s *stream) follow(b []byte) (int, error) {
+	event := 0 // where the event of the line begins
+	for n := 0; n < len(b); {
+		line, k := cutLine(b[n:])
+		if n += k; len(line) > 0 {
+			continue
 		}
-		if len(line) == 0 {
-			s.request.events++
+		if x := b[event:n]; hasField(x) {
+			id := eventID(x)
+			if (id != "" || s.joined) && !s.order.next(id, s.joined) {
+				return event, errOrder
+			}
+			s.started, s.joined = true, false
 		}
-		b = b[n:]
+		s.request.events++
+		event = n
 	}
+	return event, nil
 }
--- a/io/proxy/stream_test.go
+++ b/io/proxy/stream_test.go
@@ -25,3 +25,39 @@
 		}
 	}
 }
+
+// An event is forwarded only if its id may follow the last one.
+func TestFollow(t *testing.T) {
+	events := func(ids ...string) (b string) {
+		for _, id := range ids {
+			b += "id: " + id + "\ndata: x\n\n"
+		}
+		return b
+	}
+	for _, c := range []struct {
+		name          string
+		first, second string // of two servers
+		want          string // what is forwarded of the second
+	}{
+		{"goes on", events("1", "2"), events("3", "4"), events("3", "4")},
+		{"repeats", events("1", "2"), events("2", "3"), ""},
+		{"skips", events("1", "2"), events("4"), ""},
+		{"ids are not consecutive", events("10", "20"), events("30", "25"), events("30")},
+		{"repeats later", events("1"), events("2", "2", "3"), events("2")},
+		{"no id", events("1"), "data: x\n\n" + events("2"), ""},
+		{"no ids at all", "data: x\n\n", "data: x\n\n", ""},
+		{"comment first", events("1"), ": x\n\n" + events("2"), ": x\n\n" + events("2")},
+		{"two ids, the last counts", events("1"), "id: 2\nid: 5\n\n", ""},
+		{"not a number", events("a"), events("b"), ""},
+		{"the first had no event", ": x\n\n", events("7"), events("7")},
+	} {
+		s := &stream{request: &request{}}
+		if n, err := s.follow([]byte(c.first)); n != len(c.first) || err != nil {
+			t.Errorf("%s: got %d %v of the first server", c.name, n, err)
+		}
+		s.joined = s.started
+		if n, err := s.follow([]byte(c.second)); c.second[:n] != c.want || (err == nil) != (c.want == c.second) {
+			t.Errorf("%s: got %q %v of the second server, want %q", c.name, c.second[:n], err, c.want)
+		}
+	}
+}
