Tests of responses that end before they are whole

It cannot happen here: io/exchange gives out a response only after the empty line of its head, and a body ends with an error unless its length or its last chunk was read; io/proxy writes nothing to a caller before the whole body, or the first whole event, and aborts the caller's connection afterwards.

--- a/io/edge/cutstreams_test.go
+++ b/io/edge/cutstreams_test.go
@@ -4,9 +4,11 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	platformstandin "bergamotspring/platform/standin"
 )
@@ -98,3 +100,36 @@
 		}
 	}
 }
+
+// Servers close their connections inside the head of a response, or before the end that it announces: callers get
+// none that looks whole.
+func TestCutResponses(t *testing.T) {
+	const step = 7 // bytes
+	for _, c := range []struct{ kind, path string }{{"plain", "/read/x"}, {"plain", "/file/x"}, {"model", "/draft/x"}, {"model", "/once/x"}} {
+		for _, framing := range []string{"neither", "length", "chunks"} {
+			t.Run(c.path+" "+framing, func(t *testing.T) {
+				runFleet(t, func(w *testFleet) {
+					for cut, sent := 1, false; !sent; cut += step {
+						response := func(x platformstandin.Run) string {
+							b := framings(x, "200 OK", fullStream(6), eventStream)[framing]
+							end := len(b)
+							if framing == "neither" {
+								end = strings.Index(b, "\r\n\r\n") + 4
+							}
+							sent = cut+step >= end
+							return b[:cut]
+						}
+						w.raw(c.kind, response, response, response)
+						id := fmt.Sprint("cut", cut)
+						r := w.stream("a1", c.path, id)
+						if r.err == nil && r.status == http.StatusOK || w.runCount(id) == 0 {
+							t.Errorf("cut after %d bytes: got %d %v %q after %d runs", cut, r.status, r.err, r.body, w.runCount(id))
+						}
+						w.raw(c.kind)
+						time.Sleep(2 * time.Second) // servers are used again
+					}
+				})
+			})
+		}
+	}
+}
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -17,6 +17,9 @@
 
 const address = "10.0.0.1:80"
 
+// cut at the end of a response of a script is not sent, but closes the connection.
+const cut = "(cut)"
+
 // script is a server that sends the next of its responses to each request on a
 // connection; an empty response closes the connection.
 type script struct {
@@ -61,12 +64,15 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		s.requests <- r
+		if s.requests != nil {
+			s.requests <- r
+		}
 		x := <-s.responses
 		if x == "" {
 			return
 		}
-		if _, err := io.WriteString(c, x); err != nil || strings.Contains(x, "close") {
+		x, end := strings.CutSuffix(x, cut)
+		if _, err := io.WriteString(c, x); err != nil || end || strings.Contains(x, "close") {
 			return
 		}
 	}
