Proxy: responses to HEAD keep the length of their server

A caller's HEAD request got 'Content-Length: 0' whatever its server said: forward set the length of the body that it had read, and the response to HEAD has none. So a response stated an empty body that the server did not state (found while looking for answers that are framed as whole). Such a response now has the server's length, or none.

TestResponsesWithoutBody failed before for HEAD with a length, chunks and neither ("got 200 ... with length 0, want 17"), and passes; 204 and 304 were right.

--- /dev/null
+++ b/io/edge/nobody_test.go
@@ -0,0 +1,31 @@
+package edge
+
+import (
+	"net/http"
+	"testing"
+
+	platformstandin "bergamotspring/platform/standin"
+)
+
+// Responses that have no body reach the caller with the length that the server stated, not with that of the
+// missing body.
+func TestResponsesWithoutBody(t *testing.T) {
+	for _, c := range []struct{ method, status, line, want string }{
+		{http.MethodHead, "200 OK", "Content-Length: 17", "17"},
+		{http.MethodHead, "200 OK", "Transfer-Encoding: chunked", ""},
+		{http.MethodHead, "200 OK", "X-A: b", ""},
+		{http.MethodHead, "404 Not Found", "Content-Length: 9", "9"},
+		{http.MethodGet, "204 No Content", "X-A: b", ""},
+		{http.MethodGet, "304 Not Modified", "Content-Length: 17", ""},
+		{http.MethodGet, "304 Not Modified", "X-A: b", ""},
+		{http.MethodGet, "200 OK", "Content-Length: 0", "0"},
+	} {
+		runFleet(t, func(w *testFleet) {
+			w.raw("plain", func(x platformstandin.Run) string { return head(x, c.status, c.line) })
+			r := w.request("a1", c.method, "/read/x", "x")
+			if got := r.header.Get("Content-Length"); r.err != nil || r.body != "" || got != c.want {
+				t.Errorf("%s %s, %s: got %d %v %q with length %q, want %q", c.method, c.status, c.line, r.status, r.err, r.body, got, c.want)
+			}
+		})
+	}
+}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -172,6 +172,15 @@
 	}
 }
 
+// length returns the length of the body in bytes, -1 if unknown. The response to a HEAD request has the length of
+// a body that is not sent.
+func (a *attempt) length(method string) int64 {
+	if a.hasMore || method == http.MethodHead {
+		return a.response.Length
+	}
+	return int64(len(a.body))
+}
+
 func (a *attempt) close() {
 	if a.response != nil {
 		_ = a.response.Body.Close() // the rest is discarded
@@ -200,10 +209,8 @@
 	for k, l := range q.server.Protocol.ResponseHeader(a.response.Header) {
 		h[k] = l
 	}
-	if !a.hasMore {
-		h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	} else if a.response.Length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(a.response.Length, 10))
+	if n := a.length(q.method); n >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	q.headerSent = true
 	q.out.WriteHeader(a.response.Status)
