--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -91,6 +91,7 @@
 var (
 	errForeignResponse = errors.New("answer belongs to another request")
 	errTooLarge        = errors.New("response too large")
+	errJoinedHeads     = errors.New("response goes over into another one")
 )
 
 // Do sends a request and returns its response once the header was read. When the context
@@ -254,7 +255,11 @@
 func (c *conn) readHead(q *http.Request) (*http.Response, error) {
 	c.limit.remaining = maxHead
 	defer func() { c.limit.remaining = unlimited }()
-	return http.ReadResponse(c.in, q)
+	a, err := http.ReadResponse(c.in, q)
+	if err == nil && holdsStatusLine(a) {
+		return nil, errJoinedHeads
+	}
+	return a, err
 }
 
 // skipBody reads and drops the body of a response to another request.
