Streams: the head of another response is no event

The empty line after the head ended an 'event', which was forwarded.

An event that has a line beginning with HTTP/1., or the field that each response of a server repeats (the request's id), belongs to another response: the stream has broken off before it, and is resumed or aborted. A head without that field whose status line is joined to the text of a data line cannot be told from that text.

--- a/io/edge/joinedstreams_test.go
+++ b/io/edge/joinedstreams_test.go
@@ -108,3 +108,26 @@
 		})
 	}
 }
+
+// A server sends another response inside its stream, or after its last event: that is no event, and the stream has
+// broken off before it.
+func TestResponseInsideStream(t *testing.T) {
+	for _, stream := range []string{fullStream(2), fullStream(2) + "id: 3\nda", fullStream(2) + "id: 3\ndata: ", fullStream(2) + "id: 3\ndata: 3\n", fullStream(6)} {
+		for _, framing := range []string{"neither", "length", "chunks"} {
+			for i, other := range []string{
+				"HTTP/1.1 500 Internal Server Error\r\nX-Bergamotspring-Request-Id: old\r\nContent-Length: 4\r\n\r\nno\n\n",
+				"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n",
+			} {
+				if i == 1 && strings.Contains(stream, "da") && !strings.HasSuffix(stream, "\n") {
+					continue // nothing tells it from the event's text
+				}
+				runFleet(t, func(w *testFleet) {
+					w.raw("model", func(x platformstandin.Run) string { return framings(x, "200 OK", stream+other, eventStream)[framing] })
+					if r := w.stream("a1", "/draft/x", "saved"); r.status != 200 || r.err != nil || r.body != fullStream(6) {
+						t.Errorf("%s, %q: got %d %v %q", framing, stream+other, r.status, r.err, r.body)
+					}
+				})
+			}
+		}
+	}
+}
--- a/io/proxy/events.go
+++ b/io/proxy/events.go
@@ -104,3 +104,17 @@
 	}
 	return id
 }
+
+// holdsResponse reports whether an event has a line of a response's head: a status line, or the field that names
+// the request in each response.
+func holdsResponse(event []byte, echo string) bool {
+	for len(event) > 0 {
+		line, n := cutLine(event)
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.HasPrefix(line, []byte("HTTP/1.")) || bytes.EqualFold(name, []byte(echo)) {
+			return true
+		}
+		event = event[n:]
+	}
+	return false
+}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -19,6 +19,7 @@
 	errEventSize   = errors.New("event too large")
 	errInsideEvent = errors.New("ended inside an event")
 	errOrder       = errors.New("event does not follow the last one")
+	errResponse    = errors.New("another response inside the stream")
 	errNoEvent     = errors.New("ended before its first event")
 )
 
@@ -138,7 +139,7 @@
 }
 
 // follow counts whole events and follows their ids. It returns the length of the events before the first one
-// that does not follow the one before it, and an error if there is one.
+// that does not follow the one before it or belongs to another response, and an error if there is one.
 func (s *stream) follow(b []byte) (int, error) {
 	event := 0 // where the event of the line begins
 	for n := 0; n < len(b); {
@@ -147,6 +148,9 @@
 			continue
 		}
 		if x := b[event:n]; hasField(x) {
+			if holdsResponse(x, s.request.server.Protocol.Echo) {
+				return event, errResponse
+			}
 			id := eventID(x)
 			if (id != "" || s.joined) && !s.order.next(id, s.joined) {
 				return event, errOrder
--- a/io/proxy/stream_test.go
+++ b/io/proxy/stream_test.go
@@ -51,7 +51,7 @@
 		{"not a number", events("a"), events("b"), ""},
 		{"the first had no event", ": x\n\n", events("7"), events("7")},
 	} {
-		s := &stream{request: &request{}}
+		s := &stream{request: &request{server: &Server{Protocol: &Protocol{Echo: "Id-Of-Request"}}}}
 		if n, err := s.follow([]byte(c.first)); n != len(c.first) || err != nil {
 			t.Errorf("%s: got %d %v of the first server", c.name, n, err)
 		}
