--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -53,6 +53,9 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, -1 if unknown.
 	Length int64
+	// Framed reports that the body has a length or chunks. Without them it ends with its connection, and
+	// its end does not prove that it is complete.
+	Framed bool
 }
 
 // UnsentError reports a request of which the server cannot have read any byte.
@@ -88,6 +91,7 @@
 var (
 	errForeignResponse = errors.New("answer belongs to another request")
 	errTooLarge        = errors.New("response too large")
+	errJoinedHeads     = errors.New("response goes over into another one")
 )
 
 // Do sends a request and returns its response once the header was read. Without an Echo header, the
@@ -102,7 +106,7 @@
 	if a.ContentLength == 0 || a.Body == http.NoBody {
 		b.end(nil)
 	}
-	return &Response{Status: a.StatusCode, Header: a.Header, Body: b, Length: a.ContentLength}, nil
+	return &Response{Status: a.StatusCode, Header: a.Header, Body: b, Length: a.ContentLength, Framed: framed(a)}, nil
 }
 
 // do sends a request and returns its response and the body, at whose end the connection is
@@ -136,7 +140,7 @@
 		c.close()
 		return nil, nil, &BrokenError{Cause: err}
 	}
-	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: r.Echo != "" && !a.Close && reusable(a)}, nil
+	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: r.Echo != "" && !a.Close && framed(a)}, nil
 }
 
 // Identify decides whether a response belongs to a request whose server echoes no id. It returns a mark
@@ -158,11 +162,11 @@
 		var mark string
 		b, mark, err = readWhole(a, limit, identify)
 		if body.conn.isNew(mark) {
-			body.reuse = mark != "" && reusable(a) && !a.Close
+			body.reuse = mark != "" && framed(a) && !a.Close
 			break
 		}
 		body.conn.onForeign(r, a.StatusCode)
-		if n == maxSkipped || a.Close || !reusable(a) {
+		if n == maxSkipped || a.Close || !framed(a) {
 			err = errForeignResponse
 			break
 		}
@@ -190,8 +194,8 @@
 	return b, mark, err
 }
 
-// reusable reports whether the framing allows another response on the connection.
-func reusable(a *http.Response) bool {
+// framed reports whether the end of a body is known without that of the connection.
+func framed(a *http.Response) bool {
 	return a.ContentLength >= 0 || len(a.TransferEncoding) > 0
 }
 
@@ -235,7 +239,7 @@
 		if err := c.skipBody(a); err != nil {
 			return nil, err
 		}
-		if a.Close || !reusable(a) {
+		if a.Close || !framed(a) {
 			return nil, errForeignResponse
 		}
 	}
@@ -246,7 +250,11 @@
 func (c *conn) readHead(q *http.Request) (*http.Response, error) {
 	c.limit.remaining = maxHead
 	defer func() { c.limit.remaining = unlimited }()
-	return http.ReadResponse(c.in, q)
+	a, err := http.ReadResponse(c.in, q)
+	if err == nil && holdsStatusLine(a) {
+		return nil, errJoinedHeads
+	}
+	return a, err
 }
 
 // skipBody reads and drops the body of a response to another request.
