server_crashed names the prompt segments of the request

The log could not tell whether the requests that crash servers share a segment. No decision is changed.

--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -5,25 +5,27 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 
 	"go.uber.org/zap"
 
 	"bergamotspring/core/relay"
+	"bergamotspring/core/suspect"
 	"bergamotspring/io/exchange"
 )
 
 // onBroken checks in the background whether a server that broke off a request has crashed. A
 // refused connection means that no process listens there any more.
-func (n *Node) onBroken(fingerprint uint64, t *relay.Server) {
+func (n *Node) onBroken(r suspect.Request, t *relay.Server) {
 	n.scheduler.work.Go(func() {
 		err := n.pool.Probe(context.Background(), t.Address)
 		u, ok := errors.AsType[*exchange.UnsentError](err)
 		if !ok || !u.Refused {
 			return
 		}
-		n.Log.Warn("server_crashed", zap.String("server", t.ID), zap.Uint64("fingerprint", fingerprint))
-		n.crashes.ObserveCrash(fingerprint, t.ID)
-		n.sendCrashReport(fingerprint, t.ID)
+		n.Log.Warn("server_crashed", zap.String("server", t.ID), zap.Uint64("fingerprint", r.Fingerprint), zap.Strings("segments", segmentNames(r.Segments)))
+		n.crashes.ObserveCrash(r.Fingerprint, t.ID)
+		n.sendCrashReport(r.Fingerprint, t.ID)
 	})
 }
 
@@ -62,3 +64,12 @@
 		}
 	}
 }
+
+// segmentNames returns the ids of prompt segments as callers write them.
+func segmentNames(ids []uint64) []string {
+	l := make([]string, 0, len(ids))
+	for _, x := range ids {
+		l = append(l, strconv.FormatUint(x, 16))
+	}
+	return l
+}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -132,7 +132,7 @@
 // reportBroken reports that a server may have crashed while it ran the request.
 func (q *request) reportBroken(a *attempt, t *relay.Server) {
 	if !a.notRun {
-		q.server.OnBroken(q.fingerprint(), t)
+		q.server.OnBroken(q.suspect(), t)
 	}
 }
 
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -12,11 +12,11 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bergamotspring/core/placement"
 	"bergamotspring/core/relay"
+	"bergamotspring/core/suspect"
 	"bergamotspring/io/exchange"
 )
 
@@ -25,15 +25,16 @@
 
 // Meta is the request metadata that a caller sends in headers.
 type Meta struct {
-	ID        string
-	Key       string        // API key, identifies the organisation
-	Remaining time.Duration // until the caller's deadline, if Bounded
-	Bounded   bool
-	Tokens    int                       // of the prompt, plus the output limit
-	Segments  []placement.PromptSegment // prefix of the prompt that other requests may share
-	Tasks     []int                     // number of tasks of each stage
-	InputKey  string
-	LastEvent string // id of the last event that the caller received
+	ID         string
+	Key        string        // API key, identifies the organisation
+	Remaining  time.Duration // until the caller's deadline, if Bounded
+	Bounded    bool
+	Tokens     int                       // of the prompt, plus the output limit
+	Segments   []placement.PromptSegment // prefix of the prompt that other requests may share
+	SegmentIDs []uint64                  // ids of the same segments, whatever stands before them
+	Tasks      []int                     // number of tasks of each stage
+	InputKey   string
+	LastEvent  string // id of the last event that the caller received
 }
 
 // Upstream is the metadata sent to a server in addition to the caller's headers.
@@ -79,7 +80,7 @@
 	// timeout, or broke off an event stream or the buffered part of a response for a plain
 	// service; OnSuccess when a request completed.
 	IsPoison  func(fingerprint uint64) bool
-	OnBroken  func(fingerprint uint64, t *relay.Server)
+	OnBroken  func(r suspect.Request, t *relay.Server)
 	OnSuccess func(fingerprint uint64)
 	// OnEnd is called at the end of each request that matched a route.
 	OnEnd func(Result)
@@ -163,16 +164,6 @@
 	return q.org.Name
 }
 
-// fingerprint identifies a request by its content, so a caller's retry has the same one.
-func (q *request) fingerprint() uint64 {
-	h := xxhash.New()
-	for _, s := range []string{q.organisation(), q.method, q.host, q.target} {
-		_, _ = h.WriteString(s + "\x00") // never fails
-	}
-	_, _ = h.Write(q.body)
-	return h.Sum64()
-}
-
 // remaining returns the time until the response is due.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
 
