TestCrashingPromptSegment: requests that share a deadly prompt segment; fails

Stand-ins of model servers crash once they have sent the header of a response to a request with one segment, and are back after 3 s.

--- /dev/null
+++ b/io/edge/segments_test.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotspring/io/standin"
+)
+
+// contactTime is the platform's bound for what happened to be known to all nodes.
+const contactTime = 4 * time.Second
+
+// crashOnSegment makes all model servers crash on a prompt segment; each is back after 3 s. It
+// returns a function that returns the times of the crashes.
+func (w *testFleet) crashOnSegment(id string) func() []time.Time {
+	crashes := make(chan time.Time, 1000)
+	for _, d := range []string{"a", "b", "c"} {
+		s := w.servers["model-"+d]
+		ip, _, _ := net.SplitHostPort(s.Address)
+		s.FatalSegment = id
+		s.Crash = func() {
+			crashes <- time.Now()
+			w.net.SetHost(ip, standin.HostRefuses)
+			time.AfterFunc(3*time.Second, func() { w.net.SetHost(ip, standin.HostUp) })
+		}
+	}
+	var l []time.Time
+	return func() []time.Time {
+		for len(crashes) > 0 {
+			l = append(l, <-crashes)
+		}
+		return l
+	}
+}
+
+// Requests that share one prompt segment crash server after server, no two alike: at most three
+// reach a server from 4 s after the fifth crash on, and from 8 s on requests with their other
+// segments are served at their first attempt.
+func TestCrashingPromptSegment(t *testing.T) {
+	for _, other := range []string{"aa:800", "aa:800,0e:300"} {
+		t.Run(other, func(t *testing.T) { runFleet(t, func(w *testFleet) { w.testCrashingSegment(t, other) }) })
+	}
+}
+
+// testCrashingSegment sends a request with segment dead each second, after other segments, which
+// sound requests also have.
+func (w *testFleet) testCrashingSegment(t *testing.T, other string) {
+	crashes := w.crashOnSegment("dead")
+	nodes := []string{"a1", "b1", "c1", "a2"}
+	prefix := func(id, l string) []string {
+		return []string{"X-Bergamotspring-Prefix-Hash", fmt.Sprintf("%s,bb%s:200", l, id)}
+	}
+	sent, reached, served, sound := 0, 0, 0, 0
+	for i := range 30 {
+		node := nodes[i%len(nodes)]
+		known := contactTime
+		if l := crashes(); len(l) >= 5 {
+			known = time.Since(l[4])
+		} else if i > 10 {
+			known = 2 * contactTime // fewer crashes than five: they were soon traced
+		}
+		bad, good := fmt.Sprint("d", i), fmt.Sprint("e", i)
+		w.serving.Go(func() { w.stream(node, "/draft/x", bad, prefix(bad, other+",dead:100")...) })
+		r := w.stream(nodes[(i+1)%len(nodes)], "/draft/x", good, prefix(good, other)...)
+		time.Sleep(time.Second)
+		if known > contactTime {
+			sent++
+			reached += w.runCount(bad)
+		}
+		if known >= 2*contactTime {
+			sound++
+			if r.status == 200 && r.body == fullStream(6) && w.runCount(good) == 1 {
+				served++
+			}
+		}
+	}
+	if reached > 3 || sent < 5 {
+		t.Errorf("%d runs of %d requests that crash servers, want at most 3 (%d crashes)", reached, sent, len(crashes()))
+	}
+	if served < sound || sound < 5 {
+		t.Errorf("%d of %d sound requests were served at their first attempt", served, sound)
+	}
+	if r := w.stream("b1", "/draft/x", "last", prefix("last", other+",dead:100")...); r.status != 503 || r.header.Get("Retry-After") == "" || r.took > 10*time.Millisecond || !strings.Contains(r.body, "not run") {
+		t.Errorf("got %d %q after %v, want a refusal at once", r.status, r.body, r.took)
+	}
+}
