Crashes count against prompt segments that requests share, not only whole requests

What callers saw: requests that share one prompt segment crashed server after server, and broke off the streams beside them; the callers of sound requests got 502 or a stream that ended early.

Cause: suspect.Counter counted crashes by the hash of the whole request. No two of these requests share it, and each may be sent twice, so none was counted for three servers. A request was checked only as it arrived, before it waits for its stages, and not before its second attempt. And a server that restarts under its id was counted once, however often it crashed.

Now a Counter records crashes with the requests that were on the server, each with its shared segments unless several reads of events had come. A segment that was in three crashes of more than one request is a culprit; a response to a request with it clears it, on all nodes. Segments that were together in all crashes are one culprit, so that a request with only the sound ones is still served. A culprit explains its crashes: they count against nothing else. Servers that crash within 300 ms count once, as a lost failure domain takes popular segments with it. Requests are checked before each send, and a wait for a placement ends as soon as its request is known to be deadly. A node probes and reports a crash once for all requests that it broke off. The message Crash changed: PlacementProtocol 3.

Unit tests of Counter: segments, two at once, servers that crash together, a restarted server; they do not build on the code before.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -1,8 +1,7 @@
 package suspect
 
-// This file defines how requests that crash servers are found where a request cannot run
-// exclusively on a server: one that was on several servers when they crashed, and did not
-// succeed in between, does not run again.
+// This file defines the record of crashes on servers on which a request cannot run
+// exclusively. culprit.go decides which requests caused them.
 
 import (
 	"slices"
@@ -11,28 +10,51 @@
 )
 
 const (
-	// poisonThreshold is the number of servers that must have crashed with a request before
-	// it counts as poison.
-	poisonThreshold = 3
-	// crashTTL is how long the crashes of a request count after the last one or, once it
-	// is poison, after the last resend.
+	// crashTTL is how long a culprit's crashes count after it was last resent.
 	crashTTL = time.Minute
-	// maxCounted bounds the requests that are counted; the oldest are evicted first.
+	// countedFor is how long a crash counts in any case: as long as poisonThreshold crashes
+	// take that are up to crashTTL apart.
+	countedFor = (poisonThreshold - 1) * crashTTL
+	// sameCrash is the time after the first report of a crash for which reports on the same
+	// server are about it. It is shorter than a restart takes.
+	sameCrash = 2500 * time.Millisecond
+	// searchInterval is the minimum time between two searches for culprits while only
+	// reports arrive.
+	searchInterval = 50 * time.Millisecond
+	// maxCounted bounds the requests and segments in all recorded crashes together; the
+	// oldest crashes are evicted first.
 	maxCounted = 4096
 )
 
-// Counter counts the crashes of each request, by its fingerprint. The zero value is ready
-// to use, with a clock that stands still. It is safe for concurrent use.
+// Counter finds what crashes servers: a request, by its fingerprint, or a prompt segment that
+// several requests share. All nodes get the same reports, and each decides by itself. The
+// zero value is ready to use, with a clock that stands still. It is safe for concurrent use.
 type Counter struct {
 	Now func() time.Time
+	// OnFound, if set, is called when a culprit is found, OnReleased when it is none any more.
+	OnFound, OnReleased func(Culprit)
 
-	mu      sync.Mutex
-	records map[uint64]*crashRecord
+	mu         sync.Mutex
+	crashes    []*crash // oldest first
+	counted    int      // requests and segments in crashes
+	stale      bool     // crashes changed since the last search
+	searchedAt time.Time
+	culprits   []Culprit
+	watchers   map[*watcher]struct{}
 }
 
-type crashRecord struct {
-	servers []string
-	updated time.Time
+// crash is one crash of a server.
+type crash struct {
+	server   string
+	at       time.Time // first report
+	usedAt   time.Time // last resend of its culprit
+	requests []Request // in flight, without segments that were cleared
+}
+
+// watcher waits for a request to become poison.
+type watcher struct {
+	request Request
+	f       func()
 }
 
 func (c *Counter) now() time.Time {
@@ -42,66 +64,203 @@
 	return c.Now()
 }
 
-// ObserveCrash records that a request was on a server when it crashed.
-func (c *Counter) ObserveCrash(fingerprint uint64, server string) {
+// ObserveCrash records that requests were on a server when it crashed. A request whose
+// response had begun is to be passed without segments.
+func (c *Counter) ObserveCrash(server string, requests []Request) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.records == nil {
-		c.records = map[uint64]*crashRecord{}
+	x := c.crashOf(server)
+	for _, r := range requests {
+		i := slices.IndexFunc(x.requests, func(y Request) bool { return y.Fingerprint == r.Fingerprint })
+		if i >= 0 && len(x.requests[i].Segments) >= len(r.Segments) {
+			continue
+		}
+		if i >= 0 {
+			c.counted -= x.requests[i].size()
+			x.requests = slices.Delete(x.requests, i, i+1)
+		}
+		r.Segments = slices.Compact(slices.Sorted(slices.Values(r.Segments))) // a copy, as cleared ones are deleted
+		x.requests = append(x.requests, r)
+		c.counted += r.size()
 	}
-	x := c.records[fingerprint]
-	if x == nil || c.now().Sub(x.updated) > crashTTL {
-		c.evict()
-		x = &crashRecord{}
-		c.records[fingerprint] = x
+	c.stale = true
+	c.evict()
+	notify := func() {}
+	if c.now().Sub(c.searchedAt) >= searchInterval {
+		notify = c.search()
 	}
-	x.updated = c.now()
-	if !slices.Contains(x.servers, server) {
-		x.servers = append(x.servers, server)
+	c.mu.Unlock()
+	notify()
+}
+
+// crashOf returns the crash of a server that is being reported. The lock is held.
+func (c *Counter) crashOf(server string) *crash {
+	for _, x := range c.crashes {
+		if x.server == server && c.now().Sub(x.at) < sameCrash {
+			return x
+		}
 	}
+	x := &crash{server: server, at: c.now(), usedAt: c.now()}
+	c.crashes = append(c.crashes, x)
+	return x
 }
 
-// evict makes space for one request if the counter is full: it deletes all expired
-// records, or else the oldest one. The lock is held.
+// evict deletes expired crashes, and the oldest ones if too much is counted. The lock is held.
 func (c *Counter) evict() {
-	if len(c.records) < maxCounted {
-		return
+	remove := func(i int) {
+		for _, r := range c.crashes[i].requests {
+			c.counted -= r.size()
+		}
+		c.crashes = slices.Delete(c.crashes, i, i+1)
+		c.stale = true
 	}
-	var oldest uint64
-	at := c.now()
-	for f, x := range c.records {
-		if c.now().Sub(x.updated) > crashTTL {
-			delete(c.records, f)
-		} else if !x.updated.After(at) {
-			oldest, at = f, x.updated
+	for i := len(c.crashes) - 1; i >= 0; i-- {
+		if x := c.crashes[i]; c.now().Sub(x.at) > countedFor && c.now().Sub(x.usedAt) > crashTTL {
+			remove(i)
 		}
 	}
-	if len(c.records) >= maxCounted {
-		delete(c.records, oldest)
+	for c.counted > maxCounted && len(c.crashes) > 1 {
+		oldest := 0
+		for i, x := range c.crashes {
+			if x.usedAt.Before(c.crashes[oldest].usedAt) {
+				oldest = i
+			}
+		}
+		remove(oldest)
 	}
 }
 
-// ObserveSuccess clears the crashes of a request that succeeded and reports whether there
-// were any.
-func (c *Counter) ObserveSuccess(fingerprint uint64) bool {
+// ObserveSuccess clears a request that succeeded, and its segments. It reports whether
+// crashes were counted for any of them.
+func (c *Counter) ObserveSuccess(r Request) bool {
+	return c.clear(r, true)
+}
+
+// ObserveResponse clears the segments of a request whose response has begun, and reports
+// whether crashes were counted for any of them.
+func (c *Counter) ObserveResponse(r Request) bool {
+	return c.clear(r, false)
+}
+
+func (c *Counter) clear(r Request, whole bool) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.records[fingerprint] == nil {
+	if len(c.crashes) == 0 {
+		c.mu.Unlock()
 		return false
 	}
-	delete(c.records, fingerprint)
-	return true
+	before := c.counted
+	for _, x := range c.crashes {
+		x.requests = slices.DeleteFunc(x.requests, func(y Request) bool {
+			if !whole || y.Fingerprint != r.Fingerprint {
+				return false
+			}
+			c.counted -= y.size()
+			return true
+		})
+		for i := range x.requests {
+			y := &x.requests[i]
+			n := len(y.Segments)
+			y.Segments = slices.DeleteFunc(y.Segments, func(s uint64) bool { return slices.Contains(r.Segments, s) })
+			c.counted -= n - len(y.Segments)
+		}
+	}
+	cleared := c.counted < before
+	notify := func() {}
+	if cleared {
+		notify = c.search()
+	}
+	c.mu.Unlock()
+	notify()
+	return cleared
+}
+
+// IsPoison reports whether a request must not run, and the culprit that says so. Each call
+// that returns true counts as a resend and keeps the culprit for another crashTTL.
+func (c *Counter) IsPoison(r Request) (Culprit, bool) {
+	c.mu.Lock()
+	c.evict()
+	notify := func() {}
+	if c.stale {
+		notify = c.search()
+	}
+	k, ok := c.culpritOf(r)
+	if ok {
+		for _, x := range c.crashes {
+			if slices.ContainsFunc(x.requests, k.matches) {
+				x.usedAt = c.now()
+			}
+		}
+	}
+	c.mu.Unlock()
+	notify()
+	return k, ok
+}
+
+func (c *Counter) culpritOf(r Request) (Culprit, bool) {
+	i := slices.IndexFunc(c.culprits, func(k Culprit) bool { return k.matches(r) })
+	if i < 0 {
+		return Culprit{}, false
+	}
+	return c.culprits[i], true
 }
 
-// IsPoison reports whether a request must not run. Each call that returns true counts as a
-// resend and keeps the record for another crashTTL.
-func (c *Counter) IsPoison(fingerprint uint64) bool {
+// Watch calls f once if a request becomes poison before stop is called.
+func (c *Counter) Watch(r Request, f func()) (stop func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x := c.records[fingerprint]
-	if x == nil || len(x.servers) < poisonThreshold || c.now().Sub(x.updated) > crashTTL {
-		return false
+	if c.watchers == nil {
+		c.watchers = map[*watcher]struct{}{}
+	}
+	w := &watcher{request: r, f: f}
+	c.watchers[w] = struct{}{}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.watchers, w)
+	}
+}
+
+// search finds the culprits anew and returns a function that calls the hooks and watchers;
+// it is to be called without the lock. The lock is held.
+func (c *Counter) search() (notify func()) {
+	c.stale, c.searchedAt = false, c.now()
+	old := c.culprits
+	c.culprits = findCulprits(c.crashes)
+	found, released := missing(old, c.culprits), missing(c.culprits, old)
+	if len(found)+len(released) == 0 {
+		return func() {}
+	}
+	var l []func()
+	for w := range c.watchers {
+		if _, ok := c.culpritOf(w.request); ok {
+			l = append(l, w.f)
+			delete(c.watchers, w)
+		}
+	}
+	return func() {
+		for _, f := range l {
+			f()
+		}
+		call(c.OnReleased, released)
+		call(c.OnFound, found)
+	}
+}
+
+func call(f func(Culprit), l []Culprit) {
+	if f == nil {
+		return
+	}
+	for _, k := range l {
+		f(k)
+	}
+}
+
+// missing returns the culprits of l that are not in from.
+func missing(from, l []Culprit) []Culprit {
+	var o []Culprit
+	for _, k := range l {
+		if !slices.ContainsFunc(from, k.same) {
+			o = append(o, k)
+		}
 	}
-	x.updated = c.now()
-	return true
+	return o
 }
--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -1,59 +1,163 @@
 package suspect
 
 import (
-	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
 
+// testCounter is a Counter with a clock that the test sets.
+type testCounter struct {
+	Counter
+	t   *testing.T
+	now time.Time
+}
+
+func newTestCounter(t *testing.T) *testCounter {
+	c := &testCounter{t: t, now: time.Unix(1e6, 0)}
+	c.Now = func() time.Time { return c.now }
+	return c
+}
+
+// crash records a crash of a server, a second after the last one.
+func (c *testCounter) crash(server string, r ...Request) {
+	c.now = c.now.Add(time.Second)
+	c.ObserveCrash(server, r)
+}
+
+// check checks whether a request is poison.
+func (c *testCounter) check(what string, r Request, want bool) {
+	c.t.Helper()
+	if _, got := c.IsPoison(r); got != want {
+		c.t.Errorf("%s: poison %v, want %v", what, got, want)
+	}
+}
+
+func req(fingerprint uint64, segments ...uint64) Request {
+	return Request{Fingerprint: fingerprint, Segments: segments}
+}
+
 // A request that was on three servers when they crashed does not run again as long as it is
 // resent.
 func TestCounter(t *testing.T) {
-	now := time.Unix(0, 0)
-	c := Counter{Now: func() time.Time { return now }}
-	for i, s := range []string{"a", "b", "b", "c"} {
-		if c.IsPoison(1) {
-			t.Fatalf("poison after %d crashes", i)
-		}
-		c.ObserveCrash(1, s)
+	c := newTestCounter(t)
+	for _, s := range []string{"a", "b", "b", "c"} { // two reports on the crash of b
+		c.check("before "+s, req(1), false)
+		c.crash(s, req(1))
 	}
 	for range 5 {
-		now = now.Add(crashTTL - time.Second)
-		if !c.IsPoison(1) {
-			t.Fatal("not poison although it is resent")
-		}
+		c.now = c.now.Add(crashTTL - time.Second)
+		c.check("resent", req(1), true)
 	}
-	if c.IsPoison(2) {
-		t.Error("another request is poison")
-	}
-	now = now.Add(crashTTL + time.Second)
-	if c.IsPoison(1) {
-		t.Error("still poison after the TTL")
+	c.check("another request", req(2), false)
+	c.now = c.now.Add(crashTTL + time.Second)
+	c.check("after the TTL", req(1), false)
+}
+
+// A server that restarts under its id crashes more than once.
+func TestCounterCountsRestartedServer(t *testing.T) {
+	c := newTestCounter(t)
+	for range poisonThreshold {
+		c.now = c.now.Add(sameCrash)
+		c.crash("a", req(1))
 	}
+	c.check("after three crashes", req(1), true)
 }
 
 // A request that succeeds between crashes was on the crashed servers by chance.
 func TestCounterClearedBySuccess(t *testing.T) {
-	var c Counter
-	c.ObserveCrash(1, "a")
-	c.ObserveCrash(1, "b")
-	if !c.ObserveSuccess(1) || c.ObserveSuccess(1) {
+	c := newTestCounter(t)
+	c.crash("a", req(1))
+	c.crash("b", req(1))
+	if !c.ObserveSuccess(req(1)) || c.ObserveSuccess(req(1)) {
 		t.Error("ObserveSuccess does not report whether crashes were counted")
 	}
-	c.ObserveCrash(1, "c")
-	if c.IsPoison(1) {
-		t.Error("poison although it succeeded")
+	c.crash("c", req(1))
+	c.check("it succeeded", req(1), false)
+}
+
+const dead, first, own = 0xdead, 0xf, 0xe
+
+// Requests that share one deadly segment, no two alike: the segment is found at the third
+// crash, although all have sound segments in common and sound requests were on the servers.
+func TestCounterFindsSegment(t *testing.T) {
+	c := newTestCounter(t)
+	var found []Culprit
+	c.OnFound = func(k Culprit) { found = append(found, k) }
+	stopped := 0
+	defer c.Watch(req(9, first, own, dead), func() { stopped++ })()
+	for i, s := range []string{"a", "b", "c"} {
+		c.check("before "+s, req(8, first, own, dead), false)
+		c.crash(s, req(uint64(i/2), first, own, dead), req(50, first, 7), req(51, 0x77))
+	}
+	c.check("deadly segment", req(9, first, own, dead), true)
+	c.check("the other segments", req(9, first, own), false)
+	c.check("a request that was on all three servers", req(50, first, 7), false)
+	if stopped != 1 {
+		t.Errorf("a waiting request was stopped %d times, want 1", stopped)
+	}
+	c.check("another order, not known yet", req(9, dead, first), false)
+	if !c.ObserveResponse(req(0, first, own)) {
+		t.Error("a response with suspected segments does not count")
+	}
+	c.check("alone, as the others are cleared", req(9, dead), true)
+	if l := found[len(found)-1].Segments; !slices.Equal(l, []uint64{dead}) {
+		t.Errorf("culprit %x, want %x", l, dead)
 	}
+	c.crash("d", req(50, first, 7))
+	c.check("after a crash that nothing explains", req(50, first, 7), false)
+}
+
+// A segment that comes after different ones is found by its own crashes.
+func TestCounterFindsSegmentAmongOthers(t *testing.T) {
+	c := newTestCounter(t)
+	for i, s := range []string{"a", "b", "c", "d"} {
+		c.crash(s, req(uint64(i), uint64(i), dead))
+	}
+	c.check("after new segments", req(9, 5, 6, dead), true)
+}
+
+// Sound popular segments are not found: servers that crash together count once, and a response
+// between crashes clears a segment.
+func TestCounterSparesSoundSegments(t *testing.T) {
+	c := newTestCounter(t)
+	for i, s := range []string{"a", "b", "c", "d"} {
+		c.ObserveCrash(s, []Request{req(uint64(i), first)})
+	}
+	c.check("servers that crashed together", req(9, first), false)
+	c.ObserveResponse(req(0, first))
+	for i, s := range []string{"e", "f", "g", "h"} {
+		c.crash(s, req(uint64(i), own))
+		c.ObserveResponse(req(0, own))
+	}
+	c.check("cleared by responses", req(9, own), false)
+	for _, s := range []string{"i", "j", "k"} {
+		c.crash(s, req(99, first, own))
+	}
+	c.check("the request that crashes servers", req(99, first, own), true)
+	c.check("another one with its segments", req(9, first, own), false)
+}
+
+// Two deadly segments at the same time are both found.
+func TestCounterFindsTwoSegments(t *testing.T) {
+	c := newTestCounter(t)
+	for i := range uint64(4) {
+		c.crash(string(rune('a'+i)), req(i, first, dead), req(40+i, 2))
+		c.crash(string(rune('p'+i)), req(20+i, first, own))
+		c.ObserveResponse(req(0, first, 2))
+	}
+	c.check("first one", req(9, dead), true)
+	c.check("second one", req(9, own), true)
+	c.check("sound one", req(9, first, 2), false)
 }
 
 func TestCounterIsBounded(t *testing.T) {
-	now := time.Unix(0, 0)
-	c := Counter{Now: func() time.Time { return now }}
-	for i := range maxCounted + 10 {
-		now = now.Add(time.Millisecond)
-		c.ObserveCrash(uint64(i), fmt.Sprint(i))
-	}
-	if n := len(c.records); n > maxCounted {
-		t.Errorf("got %d requests, want at most %d", n, maxCounted)
+	c := newTestCounter(t)
+	for i := range uint64(maxCounted) { // three times as much is counted
+		c.now = c.now.Add(time.Millisecond)
+		c.ObserveCrash(string(rune(i%1000)), []Request{req(i, i, i+1)})
+		if c.counted > maxCounted {
+			t.Fatalf("%d counted, want at most %d", c.counted, maxCounted)
+		}
 	}
 }
--- /dev/null
+++ b/core/suspect/culprit.go
@@ -0,0 +1,201 @@
+package suspect
+
+// This file defines how the culprits are found in recorded crashes.
+//
+// A prompt segment is a culprit if it was in too many crashes and no response to a request
+// with it began in between. Other requests that were on the crashed servers share these
+// crashes, so each culprit explains its crashes: they do not count against anything else.
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// poisonThreshold is the number of crashes that make a culprit.
+	poisonThreshold = 3
+	// crashGap is the time within which crashes count once for a segment: servers that
+	// crash together, as in the loss of a failure domain, had popular segments in common.
+	crashGap = 300 * time.Millisecond
+)
+
+// Request names what of a request may crash servers.
+type Request struct {
+	Fingerprint uint64   // of its whole content
+	Segments    []uint64 // ids of the prompt segments that other requests may share
+}
+
+func (r Request) size() int { return 1 + len(r.Segments) }
+
+// Culprit is what crashes servers: a request or, if Segments is set, all requests that have
+// these segments. There are several if they were together in all crashes so far, so that any of
+// them may be the cause.
+type Culprit struct {
+	Fingerprint uint64
+	Segments    []uint64 // sorted
+	Crashes     int
+}
+
+// matches reports whether a request must not run because of the culprit.
+func (k Culprit) matches(r Request) bool {
+	if len(k.Segments) == 0 {
+		return r.Fingerprint == k.Fingerprint
+	}
+	for _, s := range k.Segments {
+		if !slices.Contains(r.Segments, s) {
+			return false
+		}
+	}
+	return true
+}
+
+// SegmentNames returns the ids of the segments as callers write them, in hexadecimal.
+func (k Culprit) SegmentNames() []string {
+	l := make([]string, 0, len(k.Segments))
+	for _, s := range k.Segments {
+		l = append(l, strconv.FormatUint(s, 16))
+	}
+	return l
+}
+
+func (k Culprit) same(o Culprit) bool {
+	return k.Fingerprint == o.Fingerprint && slices.Equal(k.Segments, o.Segments)
+}
+
+// better reports whether k is the more likely culprit: the one that refuses fewer requests,
+// then the one with more crashes.
+func (k Culprit) better(o Culprit) bool {
+	if len(k.Segments) != len(o.Segments) {
+		return len(k.Segments) > len(o.Segments)
+	}
+	return k.Crashes > o.Crashes
+}
+
+// findCulprits returns the culprits of crashes, which are sorted by time. Segments come
+// first, since a request that is sent several times has few crashes that its segments lack.
+func findCulprits(crashes []*crash) []Culprit {
+	var l []Culprit
+	rest := slices.Clone(crashes)
+	for _, find := range []func([]*crash) (Culprit, bool){findSegments, findRequest} {
+		for len(rest) >= poisonThreshold {
+			k, ok := find(rest)
+			if !ok {
+				break
+			}
+			l = append(l, k)
+			rest = slices.DeleteFunc(rest, func(x *crash) bool { return slices.ContainsFunc(x.requests, k.matches) })
+		}
+	}
+	return l
+}
+
+// tally counts the crashes that a segment or a request was in.
+type tally struct {
+	crashes   int
+	groups    int // crashes that are crashGap apart
+	group     int // the last one
+	byRequest map[uint64]int
+}
+
+// oneRequest reports whether a single request was in all crashes, and so explains them.
+func (t *tally) oneRequest() bool {
+	for _, n := range t.byRequest {
+		if n == t.crashes {
+			return true
+		}
+	}
+	return false
+}
+
+// findSegments returns the most likely culprit among the segments.
+func findSegments(crashes []*crash) (Culprit, bool) {
+	var best Culprit
+	for s, t := range tallySegments(crashes) {
+		if t.groups < poisonThreshold || t.oneRequest() {
+			continue
+		}
+		k := Culprit{Segments: together(s, crashes), Crashes: t.crashes}
+		if best.Crashes == 0 || k.better(best) || !best.better(k) && slices.Compare(k.Segments, best.Segments) < 0 {
+			best = k
+		}
+	}
+	return best, best.Crashes > 0
+}
+
+func tallySegments(crashes []*crash) map[uint64]*tally {
+	n := map[uint64]int{} // requests with the segment; most have too few
+	for _, x := range crashes {
+		for _, r := range x.requests {
+			for _, s := range r.Segments {
+				n[s]++
+			}
+		}
+	}
+	m := map[uint64]*tally{}
+	group, start := 0, time.Time{}
+	for i, x := range crashes {
+		if i == 0 || x.at.Sub(start) >= crashGap {
+			group, start = group+1, x.at
+		}
+		seen := map[uint64]bool{} // segments of this crash
+		for _, r := range x.requests {
+			for _, s := range r.Segments {
+				if n[s] < poisonThreshold {
+					continue
+				}
+				t := m[s]
+				if t == nil {
+					t = &tally{byRequest: map[uint64]int{}}
+					m[s] = t
+				}
+				t.byRequest[r.Fingerprint]++
+				if seen[s] {
+					continue
+				}
+				seen[s] = true
+				t.crashes++
+				if t.group != group {
+					t.group = group
+					t.groups++
+				}
+			}
+		}
+	}
+	return m
+}
+
+// together returns the segments, sorted, that all requests with segment s have in common.
+func together(s uint64, crashes []*crash) []uint64 {
+	var l []uint64
+	for _, x := range crashes {
+		for _, r := range x.requests {
+			if !slices.Contains(r.Segments, s) {
+				continue
+			}
+			if l == nil {
+				l = slices.Clone(r.Segments)
+			}
+			l = slices.DeleteFunc(l, func(o uint64) bool { return !slices.Contains(r.Segments, o) })
+		}
+	}
+	slices.Sort(l)
+	return slices.Compact(l)
+}
+
+// findRequest returns the request with the most crashes.
+func findRequest(crashes []*crash) (Culprit, bool) {
+	n := map[uint64]int{}
+	for _, x := range crashes {
+		for _, r := range x.requests {
+			n[r.Fingerprint]++
+		}
+	}
+	var best Culprit
+	for f, i := range n {
+		if i >= poisonThreshold && (i > best.Crashes || i == best.Crashes && f < best.Fingerprint) {
+			best = Culprit{Fingerprint: f, Crashes: i}
+		}
+	}
+	return best, best.Crashes > 0
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -81,6 +81,7 @@
 	drain           drain
 	requestRetries  retries // of requests that this node sends to backend servers
 	crashes         suspect.Counter
+	broken          brokenRequests
 	sampler         sampler
 	meter           *meter
 	taskRetries     retries // of tasks that this node schedules as coordinator
@@ -145,6 +146,7 @@
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.cache.Now, n.roster.Now = time.Now, time.Now
 	n.sampler.now, n.crashes.Now = time.Now, time.Now
+	n.crashes.OnFound, n.crashes.OnReleased = n.onCulprit, n.onCulpritReleased
 	n.drain = newDrain()
 	n.meter = newMeter()
 	n.scheduler.meter, n.scheduler.sample = n.meter, n.sampler.sample
@@ -224,7 +226,7 @@
 		Protocol: platform.Protocol(), View: n.cache.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
 		Pool: &n.pool, Schedule: n.schedulerClient.place, Report: n.schedulerClient.report,
 		CountFirst: n.requestRetries.countFirst, TakeRetry: n.requestRetries.takeRetry,
-		IsPoison: n.crashes.IsPoison, OnBroken: n.onBroken, OnSuccess: n.onSuccess, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
+		Suspects: &n.crashes, OnBroken: n.onBroken, OnResponse: n.onResponse, OnSuccess: n.onSuccess, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
 		EndPlacements: n.drain.placements, EndRequests: n.drain.requests,
 	}
 	return &http.Server{
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -27,13 +27,14 @@
 	batches   *metrics.Cache
 	decisions *metrics.Cache
 	tables    *metrics.Cache
+	culprits  *metrics.Cache
 }
 
 func newMeter() *meter {
 	m := metrics.New()
 	return &meter{
 		metrics: m, requests: metrics.NewCache(m, maxSeries), batches: metrics.NewCache(m, maxSeries), decisions: metrics.NewCache(m, maxSeries),
-		tables: metrics.NewCache(m, maxSeries),
+		tables: metrics.NewCache(m, maxSeries), culprits: metrics.NewCache(m, maxSeries),
 	}
 }
 
@@ -63,6 +64,11 @@
 	m.decisions.Scope(map[string]string{"answer": reason}).Counter("places_total").Inc(1)
 }
 
+// countCulprit counts changes of what is known to crash servers.
+func (m *meter) countCulprit(change string) {
+	m.culprits.Scope(map[string]string{"change": change}).Counter("culprits_total").Inc(1)
+}
+
 // reportTable records the version of a table that this node has, and its age.
 func (m *meter) reportTable(v peer.TableVersion, now time.Time) {
 	f := m.tables.Scope(map[string]string{"table": v.Table})
--- a/io/peer/placement.go
+++ b/io/peer/placement.go
@@ -8,12 +8,13 @@
 
 	"bergamotspring/core/placement"
 	"bergamotspring/core/relay"
+	"bergamotspring/core/suspect"
 	"bergamotspring/schema/wire"
 )
 
 // PlacementProtocol is the version of the messages of PlacementHandlers. Nodes state it when they
 // register, and exchange these messages only with nodes of the same version.
-const PlacementProtocol = 2
+const PlacementProtocol = 3
 
 // PlacementHandlers handles the messages of other nodes on the users' platform. All fields
 // must be set.
@@ -24,9 +25,9 @@
 	// Report handles the report on a granted request or, without a server, the withdrawal
 	// of a request.
 	Report func(placement.Report)
-	// Crash handles that a request was on a server when it crashed or, without a server,
-	// that the request succeeded.
-	Crash func(fingerprint uint64, server string)
+	// Crash handles that requests were on a server when it crashed or, without a server,
+	// that they crash none. Fingerprint 0 means only the segments.
+	Crash func(server string, requests []suspect.Request)
 	// Tables responds to a query for tables of the store. Respond may be called later, from
 	// any goroutine.
 	Tables func(q TablesQuery, respond func(Tables))
@@ -43,7 +44,7 @@
 	handle(m, TypePlaceNote, true, func(_ *Request, b wire.PlaceNote) {
 		h.Report(placement.Report{ID: b.Id, Attempt: b.Try, Server: b.Server, Status: placement.RunStatus(b.End)})
 	})
-	handle(m, TypeCrash, true, func(_ *Request, b wire.Crash) { h.Crash(uint64(b.Fingerprint), b.Server) })
+	handle(m, TypeCrash, true, func(_ *Request, b wire.Crash) { h.Crash(b.Server, each(b.Requests, suspectOf)) })
 	handle(m, TypeMirrorAsk, true, func(r *Request, b wire.MirrorAsk) {
 		h.Tables(tablesQueryOf(b, time.Now()), func(t Tables) { reply(r, TypeMirror, wireTables(t, time.Now())) })
 	})
@@ -74,10 +75,18 @@
 	return m.Send(to, TypePlaceNote, &wire.PlaceNote{Id: n.ID, Try: n.Attempt, Server: n.Server, End: int(n.Status)})
 }
 
-// SendCrash notifies the node at an address of a crash, or without a server that the
-// request succeeded; it may be lost without an error.
-func (m *Mesh) SendCrash(to string, fingerprint uint64, server string) error {
-	return m.Send(to, TypeCrash, &wire.Crash{Fingerprint: int(fingerprint), Server: server})
+// SendCrash notifies the node at an address of the requests that were on a server when it
+// crashed, or without a server of requests that crash none; it may be lost without an error.
+func (m *Mesh) SendCrash(to, server string, requests []suspect.Request) error {
+	return m.Send(to, TypeCrash, &wire.Crash{Server: server, Requests: each(requests, wireSuspect)})
+}
+
+func wireSuspect(r suspect.Request) wire.CrashRequest {
+	return wire.CrashRequest{Fingerprint: int(r.Fingerprint), Segments: ints(r.Segments)}
+}
+
+func suspectOf(w wire.CrashRequest) suspect.Request {
+	return suspect.Request{Fingerprint: uint64(w.Fingerprint), Segments: uints(w.Segments)}
 }
 
 func wirePlacementRequest(a placement.Request) *wire.PlaceAsk {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -40,6 +40,7 @@
 	body     []byte // the whole body, or the first part of it if hasMore is set
 	hasMore  bool
 	notRun   bool // the request was certainly not run
+	reads    int  // of an event stream, with at least one event
 	err      error
 	cancel   context.CancelFunc // cancels the rest of the attempt; nil if there is none
 }
@@ -50,6 +51,9 @@
 	var tried []string
 	runs := 0
 	for n := 0; ; n++ {
+		if n > 0 && q.refusePoison(nil) {
+			return
+		}
 		v := s.View()
 		t := s.Balancer.Pick(v, q.service, s.Domain, s.Region, time.Now(), func(x *relay.Server) bool {
 			return relay.Allows(q.route, q.org, x.Region)
@@ -129,13 +133,6 @@
 	return max(minAttemptTime, time.Duration(attemptShare*float64(q.remaining())))
 }
 
-// reportBroken reports that a server may have crashed while it ran the request.
-func (q *request) reportBroken(a *attempt, t *relay.Server) {
-	if !a.notRun {
-		q.server.OnBroken(q.suspect(), t)
-	}
-}
-
 // send sends a request to a server and reads its response header.
 func (q *request) send(ctx context.Context, t *relay.Server, x Upstream) *attempt {
 	s := q.server
@@ -214,7 +211,7 @@
 	if err != nil {
 		q.fail(err.Error(), 0)
 	}
-	q.server.OnSuccess(q.fingerprint())
+	q.server.OnSuccess(q.suspect())
 	q.end("answered", a.response.Status < http.StatusInternalServerError, 0, zap.String("server", t.ID), zap.Int("status", a.response.Status))
 }
 
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -39,12 +39,7 @@
 		a.Attempt, q.attempt = n, n
 		a.Remaining, a.Goal = q.remaining(), q.route.Goal-time.Since(q.arrived)
 		g, err := q.schedule(ctx, a)
-		if ctx.Err() != nil {
-			q.contextEnded(ctx)
-			return
-		}
-		if err != nil || !g.Granted() {
-			q.fail(refusalReason(g, err), max(g.RetryAfter, retryAfterBusy))
+		if !q.placed(ctx, &g, err) {
 			return
 		}
 		e := q.run(ctx, out, &g, q.route.Resumable && runs+1 < q.route.Attempts)
@@ -74,11 +69,29 @@
 	q.fail("model servers failed", retryAfterBusy)
 }
 
+// placed reports whether the request is to be sent to the server that it was placed on. If not,
+// it has ended the request.
+func (q *request) placed(ctx context.Context, g *placement.Decision, err error) bool {
+	if ctx.Err() != nil {
+		q.contextEnded(ctx)
+		return false
+	}
+	if q.refusePoison(g) {
+		return false
+	}
+	if err != nil || !g.Granted() {
+		q.fail(refusalReason(*g, err), max(g.RetryAfter, retryAfterBusy))
+		return false
+	}
+	return true
+}
+
 // schedule requests a placement, until EndPlacements ends.
 func (q *request) schedule(ctx context.Context, a placement.Request) (placement.Decision, error) {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(q.server.EndPlacements, func() { end(errStopping) })()
+	defer q.server.Suspects.Watch(q.suspect(), func() { end(errPoison) })()
 	return q.server.Schedule(ctx, a)
 }
 
@@ -207,10 +220,10 @@
 
 // forwardStream forwards an event stream until it ends or breaks.
 func (q *request) forwardStream(ctx context.Context, out *stream, a *attempt, g *placement.Decision) runOutcome {
-	err := out.copy(a.response, func() { q.report(g, placement.RunStarted) })
+	err := out.copy(a.response, func(n int) { a.onEvents(q, g, n) })
 	if err == nil {
 		q.report(g, placement.RunDone)
-		q.server.OnSuccess(q.fingerprint())
+		q.server.OnSuccess(q.suspect())
 		first := max(1, out.firstEvent.Sub(q.arrived))
 		q.end("streamed", true, first, zap.String("server", g.Server.ID), zap.Int("events", q.events), zap.Duration("first_event", first))
 		return runDone
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -75,13 +75,14 @@
 	// the service's retry budget and returns how many remain.
 	CountFirst func(service string)
 	TakeRetry  func(service string) (remaining int, ok bool)
-	// IsPoison reports whether a request must not run because it crashes servers. OnBroken
-	// is called when a server that may have read a request did not respond, also after a
+	// Suspects knows which requests must not run because they crash servers. OnBroken is
+	// called when a server that may have read a request did not respond, also after a
 	// timeout, or broke off an event stream or the buffered part of a response for a plain
-	// service; OnSuccess when a request completed.
-	IsPoison  func(fingerprint uint64) bool
-	OnBroken  func(r suspect.Request, t *relay.Server)
-	OnSuccess func(fingerprint uint64)
+	// service, and without segments if several events had come; OnResponse when several
+	// events came, OnSuccess when a request completed.
+	Suspects              *suspect.Counter
+	OnBroken              func(r suspect.Request, t *relay.Server)
+	OnResponse, OnSuccess func(r suspect.Request)
 	// OnEnd is called at the end of each request that matched a route.
 	OnEnd func(Result)
 	// Sample reports whether a request that ended normally is logged.
@@ -108,6 +109,7 @@
 	host     string
 	header   http.Header
 	body     []byte
+	hash     uint64 // see fingerprint; 0: not computed yet
 	arrived  time.Time
 	deadline time.Time // when the response is due
 	out      http.ResponseWriter
@@ -134,8 +136,7 @@
 	defer context.AfterFunc(s.EndRequests, func() { end(errStopping) })()
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	if s.IsPoison(q.fingerprint()) {
-		q.fail("crashes servers", retryAfterPoison)
+	if q.refusePoison(nil) {
 		return
 	}
 	s.CountFirst(q.service)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -40,8 +40,9 @@
 // copy forwards events until the response is complete. Only whole events are forwarded; if
 // the response breaks off, a truncated event is dropped, so that a resumed stream can send
 // it whole. What follows the last event of a complete response is forwarded as it is.
-// onFirst is called before the first event that has a field is forwarded.
-func (s *stream) copy(r *exchange.Response, onFirst func()) error {
+// onEvents is called before each read that has an event with a field is forwarded, with the
+// number of these reads.
+func (s *stream) copy(r *exchange.Response, onEvents func(n int)) error {
 	s.buffer = s.buffer[:0]
 	n := 0
 	p := make([]byte, 4<<10)
@@ -50,9 +51,8 @@
 		s.buffer = append(s.buffer, p[:k]...)
 		if end := wholeEvents(s.buffer); end > 0 {
 			if hasField(s.buffer[:end]) {
-				if n++; n == 1 {
-					onFirst()
-				}
+				n++
+				onEvents(n)
 				s.resetStallTimer()
 			}
 			if e := s.write(r, s.buffer[:end]); e != nil {
--- a/io/proxy/suspect.go
+++ b/io/proxy/suspect.go
@@ -1,16 +1,32 @@
 package proxy
 
-// This file defines how a request is identified if it crashes servers.
+// This file defines how requests that crash servers are reported and refused.
 
 import (
+	"errors"
+
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
+	"bergamotspring/core/placement"
+	"bergamotspring/core/relay"
 	"bergamotspring/core/suspect"
 )
 
+// errPoison is the cause of the end of a wait for a placement when the request must not run.
+var errPoison = errors.New("crashes servers")
+
+// provenReads is the number of reads with events after which a response has proven that the
+// request's segments crash no server. The first event may come from a server that crashes as it
+// sends it.
+const provenReads = 2
+
 // suspect returns what of the request may crash servers.
 func (q *request) suspect() suspect.Request {
-	return suspect.Request{Fingerprint: q.fingerprint(), Segments: q.meta.SegmentIDs}
+	if q.hash == 0 {
+		q.hash = q.fingerprint()
+	}
+	return suspect.Request{Fingerprint: q.hash, Segments: q.meta.SegmentIDs}
 }
 
 // fingerprint identifies a request by its content, so a caller's retry has the same one.
@@ -22,3 +38,41 @@
 	_, _ = h.Write(q.body)
 	return h.Sum64()
 }
+
+// refusePoison ends a request that must not run because it crashes servers, and reports
+// whether it did. It is called before each send; a placement, if there is one, is given up.
+func (q *request) refusePoison(g *placement.Decision) bool {
+	k, ok := q.server.Suspects.IsPoison(q.suspect())
+	if !ok {
+		return false
+	}
+	if g != nil {
+		q.report(g, placement.RunAbandoned)
+	}
+	q.log("poison", zap.Uint64("fingerprint", k.Fingerprint), zap.Strings("segments", k.SegmentNames()), zap.Int("crashes", k.Crashes))
+	q.fail(errPoison.Error(), retryAfterPoison)
+	return true
+}
+
+// reportBroken reports that a server may have crashed while it ran the request.
+func (q *request) reportBroken(a *attempt, t *relay.Server) {
+	if a.notRun {
+		return
+	}
+	r := q.suspect()
+	if a.reads >= provenReads {
+		r.Segments = nil
+	}
+	q.server.OnBroken(r, t)
+}
+
+// onEvents reports the progress of an event stream after n reads with events.
+func (a *attempt) onEvents(q *request, g *placement.Decision, n int) {
+	a.reads = n
+	switch n {
+	case 1:
+		q.report(g, placement.RunStarted)
+	case provenReads:
+		q.server.OnResponse(q.suspect())
+	}
+}
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -113,16 +113,25 @@
 	Version int `msgpack:"version"`
 }
 
-// Reports that a request was on a server when it crashed, or, without a server,
-// that it ended well.
+// Reports the requests that were on a server when it crashed, or, without a
+// server, requests that crash none.
 type Crash struct {
-	// Fingerprint corresponds to the JSON schema field "fingerprint".
-	Fingerprint int `msgpack:"fingerprint"`
+	// Requests corresponds to the JSON schema field "requests".
+	Requests []CrashRequest `msgpack:"requests"`
 
 	// Server corresponds to the JSON schema field "server".
 	Server string `msgpack:"server"`
 }
 
+// What of a request may crash servers, or crashes none.
+type CrashRequest struct {
+	// Hash of its content; 0: only the segments are meant.
+	Fingerprint int `msgpack:"fingerprint"`
+
+	// Ids of the prompt segments that other requests may share.
+	Segments []int `msgpack:"segments"`
+}
+
 // Gossip that a node sends to a few random peers each second.
 type Digest struct {
 	// Confirmed corresponds to the JSON schema field "confirmed".
