Culprits: a deadly segment that comes with other segments later is found after two more crashes

A culprit of several segments explained the crashes that its deadly one went on to cause in other company, so each new company took three crashes. TestCounterFindsSegmentInOtherCompany; without Culprit.explains its last check but one fails.

--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -117,6 +117,24 @@
 	c.check("after new segments", req(9, 5, 6, dead), true)
 }
 
+// A deadly segment that comes with others than in its first crashes is found after two more; a single
+// crash of another cause does not condemn a sound one that always came with it.
+func TestCounterFindsSegmentInOtherCompany(t *testing.T) {
+	c := newTestCounter(t)
+	for i, s := range []string{"a", "b", "c"} {
+		c.crash(s, req(uint64(i), first, own, dead))
+	}
+	c.crash("other cause", req(70, first, 7))
+	c.check("sound", req(71, first, 8), false)
+	c.check("deadly", req(9, first, own, dead), true)
+	for i, s := range []string{"d", "e"} {
+		c.check("before "+s, req(9, 5, 6, dead), false)
+		c.crash(s, req(uint64(10+i), uint64(20+i), uint64(30+i), dead))
+	}
+	c.check("in other company", req(9, 5, 6, dead), true)
+	c.check("sound", req(71, first, own), false)
+}
+
 // Sound popular segments are not found: servers that crash together count once, and a response
 // between crashes clears a segment.
 func TestCounterSparesSoundSegments(t *testing.T) {
--- a/core/suspect/culprit.go
+++ b/core/suspect/culprit.go
@@ -7,6 +7,7 @@
 // crashes, so each culprit explains its crashes: they do not count against anything else.
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -18,6 +19,9 @@
 	// crashGap is the time within which crashes count once for a segment: servers that
 	// crash together, as in the loss of a failure domain, had popular segments in common.
 	crashGap = 300 * time.Millisecond
+	// otherCompany is the number of crashes, crashGap apart, without the rest of a culprit's
+	// segments that show that some of them are enough.
+	otherCompany = 2
 )
 
 // Request names what of a request may crash servers.
@@ -35,6 +39,7 @@
 	Fingerprint uint64
 	Segments    []uint64 // sorted
 	Crashes     int
+	groups      int // crashes that are crashGap apart
 }
 
 // matches reports whether a request must not run because of the culprit.
@@ -63,13 +68,16 @@
 	return k.Fingerprint == o.Fingerprint && slices.Equal(k.Segments, o.Segments)
 }
 
-// better reports whether k is the more likely culprit: the one that refuses fewer requests,
-// then the one with more crashes.
-func (k Culprit) better(o Culprit) bool {
-	if len(k.Segments) != len(o.Segments) {
-		return len(k.Segments) > len(o.Segments)
-	}
-	return k.Crashes > o.Crashes
+// compareCulprits orders culprits: first those that refuse fewer requests, then those with more
+// crashes.
+func compareCulprits(k, o Culprit) int {
+	return cmp.Or(cmp.Compare(len(o.Segments), len(k.Segments)), cmp.Compare(o.Crashes, k.Crashes), slices.Compare(k.Segments, o.Segments))
+}
+
+// explains reports whether k is enough to explain the crashes of o, since its segments went on to
+// crash servers without the rest of o's.
+func (k Culprit) explains(o Culprit) bool {
+	return k.groups >= o.groups+otherCompany && k.matches(Request{Segments: o.Segments})
 }
 
 // findCulprits returns the culprits of crashes, which are sorted by time. Segments come
@@ -110,17 +118,23 @@
 
 // findSegments returns the most likely culprit among the segments.
 func findSegments(crashes []*crash) (Culprit, bool) {
-	var best Culprit
+	var l []Culprit
 	for s, t := range tallySegments(crashes) {
-		if t.groups < poisonThreshold || t.oneRequest() {
-			continue
+		if t.groups >= poisonThreshold && !t.oneRequest() {
+			l = append(l, Culprit{Segments: together(s, crashes), Crashes: t.crashes, groups: t.groups})
 		}
-		k := Culprit{Segments: together(s, crashes), Crashes: t.crashes}
-		if best.Crashes == 0 || k.better(best) || !best.better(k) && slices.Compare(k.Segments, best.Segments) < 0 {
+	}
+	if len(l) == 0 {
+		return Culprit{}, false
+	}
+	slices.SortFunc(l, compareCulprits)
+	best := l[0]
+	for _, k := range l[1:] {
+		if k.explains(best) {
 			best = k
 		}
 	}
-	return best, best.Crashes > 0
+	return best, true
 }
 
 func tallySegments(crashes []*crash) map[uint64]*tally {
