--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -12,11 +12,11 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bergamotspring/core/placement"
 	"bergamotspring/core/relay"
+	"bergamotspring/core/suspect"
 	"bergamotspring/io/exchange"
 )
 
@@ -25,15 +25,16 @@
 
 // Meta is the request metadata that a caller sends in headers.
 type Meta struct {
-	ID        string
-	Key       string        // API key, identifies the organisation
-	Remaining time.Duration // until the caller's deadline, if Bounded
-	Bounded   bool
-	Tokens    int                       // of the prompt, plus the output limit
-	Segments  []placement.PromptSegment // prefix of the prompt that other requests may share
-	Tasks     []int                     // number of tasks of each stage
-	InputKey  string
-	LastEvent string // id of the last event that the caller received
+	ID         string
+	Key        string        // API key, identifies the organisation
+	Remaining  time.Duration // until the caller's deadline, if Bounded
+	Bounded    bool
+	Tokens     int                       // of the prompt, plus the output limit
+	Segments   []placement.PromptSegment // prefix of the prompt that other requests may share
+	SegmentIDs []uint64                  // ids of the same segments, whatever stands before them
+	Tasks      []int                     // number of tasks of each stage
+	InputKey   string
+	LastEvent  string // id of the last event that the caller received
 }
 
 // Upstream is the metadata sent to a server in addition to the caller's headers.
@@ -74,13 +75,14 @@
 	// the service's retry budget and returns how many remain.
 	CountFirst func(service string)
 	TakeRetry  func(service string) (remaining int, ok bool)
-	// IsPoison reports whether a request must not run because it crashes servers. OnBroken
-	// is called when a server that may have read a request did not respond, also after a
+	// Suspects knows which requests must not run because they crash servers. OnBroken is
+	// called when a server that may have read a request did not respond, also after a
 	// timeout, or broke off an event stream or the buffered part of a response for a plain
-	// service; OnSuccess when a request completed.
-	IsPoison  func(fingerprint uint64) bool
-	OnBroken  func(fingerprint uint64, t *relay.Server)
-	OnSuccess func(fingerprint uint64)
+	// service, and without segments if several events had come; OnResponse when several
+	// events came, OnSuccess when a request completed.
+	Suspects              *suspect.Counter
+	OnBroken              func(r suspect.Request, t *relay.Server)
+	OnResponse, OnSuccess func(r suspect.Request)
 	// OnEnd is called at the end of each request that matched a route.
 	OnEnd func(Result)
 	// Sample reports whether a request that ended normally is logged.
@@ -107,6 +109,7 @@
 	host     string
 	header   http.Header
 	body     []byte
+	hash     uint64 // see fingerprint; 0: not computed yet
 	arrived  time.Time
 	deadline time.Time // when the response is due
 	out      http.ResponseWriter
@@ -133,8 +136,7 @@
 	defer context.AfterFunc(s.EndRequests, func() { end(errStopping) })()
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	if s.IsPoison(q.fingerprint()) {
-		q.fail("crashes servers", retryAfterPoison)
+	if q.refusePoison(nil) {
 		return
 	}
 	s.CountFirst(q.service)
@@ -163,16 +165,6 @@
 	return q.org.Name
 }
 
-// fingerprint identifies a request by its content, so a caller's retry has the same one.
-func (q *request) fingerprint() uint64 {
-	h := xxhash.New()
-	for _, s := range []string{q.organisation(), q.method, q.host, q.target} {
-		_, _ = h.WriteString(s + "\x00") // never fails
-	}
-	_, _ = h.Write(q.body)
-	return h.Sum64()
-}
-
 // remaining returns the time until the response is due.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
 
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -55,8 +55,9 @@
 // the response breaks off, a truncated event is dropped, so that a resumed stream can send
 // it whole. A response that ends inside an event has broken off, whatever its framing; so has one with
 // an event that does not follow the last one, of this server or an earlier one.
-// onFirst is called before the first event that has a field is forwarded.
-func (s *stream) copy(r *exchange.Response, onFirst func()) error {
+// onEvents is called before each read that has an event with a field is forwarded, with the
+// number of these reads.
+func (s *stream) copy(r *exchange.Response, onEvents func(n int)) error {
 	s.buffer = s.buffer[:0]
 	s.joined = s.started
 	n := 0
@@ -67,9 +68,8 @@
 		if whole := wholeEvents(s.buffer); whole > 0 {
 			end, wrong := s.follow(s.buffer[:whole])
 			if hasField(s.buffer[:end]) {
-				if n++; n == 1 {
-					onFirst()
-				}
+				n++
+				onEvents(n)
 				s.resetStallTimer()
 			}
 			if end > 0 {
