Servers that state in a response that they are leaving get nothing new

What callers saw: a server states in its responses (Server-Leaving: 1) that it is leaving; nodes ignored that, and sent it requests until its entry changed in the store's table, which takes a second, as long as an outage of the store, or for servers that never report it until their entry is removed. Requests that reach it too late end with it.

Cause: only the table decided which servers are used.

Change: io/exchange shows the header of each response to the owner of its request (Guard.OnHead) and asks it once more before the first byte is written (Guard.Admit). io/edge/serverguard.go marks the process (id and start) in core/relay.Cache, whose views then leave the server out: plain requests, and the stages and model servers that this node schedules as coordinator. The mark stays until the entry is that of another process; without a known start, until the entry is removed, gets another address, or is no longer that of a leaving server. Marks without an entry are kept for a minute. Model requests are placed by the coordinator, which did not see the response: the node names the server in Avoid, and does not send what was placed there before; that is reported as not sent, which frees the place, and asked again without a retry from the budget. Requests that run or wait at the server are not touched. Releases of results stored there are still sent while the scheduler knows the server, that is until its last batch ends. The messages between nodes have not changed.

--- a/core/relay/cache.go
+++ b/core/relay/cache.go
@@ -27,6 +27,7 @@
 	takenOut      map[string]bool
 	expiring      map[string]time.Time // removed entries and when they expire
 	reconnectedAt time.Time            // when the last outage of the store ended
+	leaving       map[string]leavingMark
 	view          *View
 }
 
@@ -43,11 +44,9 @@
 	defer s.mu.Unlock()
 	s.expire()
 	if s.view == nil {
-		l := make([]*Server, 0, len(s.servers))
-		for _, x := range s.servers {
-			l = append(l, x)
-		}
+		l, departing := s.currentServers()
 		s.view = NewView(s.config, l, s.takenOut)
+		s.view.Departing = departing
 	}
 	return s.view
 }
@@ -97,6 +96,7 @@
 	if s.servers == nil {
 		s.servers = map[string]*Server{}
 	}
+	s.unmark(s.servers[x.ID], x)
 	s.servers[x.ID] = x
 	delete(s.expiring, x.ID)
 }
@@ -117,8 +117,7 @@
 	}
 	until := s.reconnectedAt.Add(reconnectGrace)
 	if s.reconnectedAt.IsZero() || !s.now().Before(until) {
-		delete(s.servers, id)
-		delete(s.expiring, id)
+		s.remove(id)
 		return
 	}
 	if s.expiring == nil {
@@ -131,9 +130,16 @@
 func (s *Cache) expire() {
 	for id, t := range s.expiring {
 		if !s.now().Before(t) {
-			delete(s.servers, id)
-			delete(s.expiring, id)
+			s.remove(id)
 			s.view = nil
 		}
 	}
+	s.expireMarks()
+}
+
+// remove removes an entry. The lock is held.
+func (s *Cache) remove(id string) {
+	delete(s.servers, id)
+	delete(s.expiring, id)
+	s.markRemoved(id)
 }
--- /dev/null
+++ b/core/relay/leaving.go
@@ -0,0 +1,139 @@
+package relay
+
+// This file defines the marks of servers that stated in a response that they are leaving.
+// The store may report that later, or never.
+
+import (
+	"errors"
+	"time"
+)
+
+// leavingTTL is how long a mark is kept for a process whose entry is not known: its entry
+// may have expired while the store was unreachable, and come back.
+const leavingTTL = time.Minute
+
+// ErrLeaving says that a request was not sent because its server is leaving.
+var ErrLeaving = errors.New("server is leaving")
+
+// Process identifies one process of a server.
+type Process struct {
+	ID        string
+	StartedAt int64 // Unix milliseconds of its start, 0: unknown
+}
+
+// Process returns the process of a server's entry.
+func (s *Server) Process() Process { return Process{ID: s.ID, StartedAt: s.StartedAt} }
+
+// leavingMark marks one process of a server as leaving.
+type leavingMark struct {
+	startedAt int64     // of the process, 0: unknown
+	removedAt time.Time // when its entry was removed; zero: the entry is known
+}
+
+// MarkLeaving records that a process is leaving, and reports whether this is new. From then
+// on, the views do not contain its server, whatever the entry says, until another process has
+// the ID. If no start is known, that is when the entry is removed, gets another address, or is
+// no longer that of a leaving server.
+func (s *Cache) MarkLeaving(p Process) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := leavingMark{startedAt: p.StartedAt}
+	switch x := s.servers[p.ID]; {
+	case x == nil:
+		m.removedAt = s.now()
+	case x.StartedAt != p.StartedAt:
+		return false // the entry is that of its successor
+	}
+	if old, ok := s.leaving[p.ID]; ok && old.startedAt == m.startedAt {
+		return false
+	}
+	if s.leaving == nil {
+		s.leaving = map[string]leavingMark{}
+	}
+	s.leaving[p.ID] = m
+	s.view = nil
+	return true
+}
+
+// Leaving reports whether a process stated that it is leaving.
+func (s *Cache) Leaving(p Process) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.leaving[p.ID]
+	return ok && m.startedAt == p.StartedAt
+}
+
+// Process returns the process of a server as this node knows it. A grant of another node does
+// not tell its start: it is then that of the server's entry.
+func (s *Cache) Process(t *Server) Process {
+	p := t.Process()
+	if p.StartedAt != 0 {
+		return p
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x := s.servers[t.ID]; x != nil {
+		return x.Process()
+	}
+	return p
+}
+
+// currentServers returns all entries, with Leaving set if the process stated so, and the IDs of the
+// latter by service. The lock is held.
+func (s *Cache) currentServers() (l []*Server, departing map[string][]string) {
+	departing = map[string][]string{}
+	for id, x := range s.servers {
+		if _, ok := s.leaving[id]; ok {
+			c := *x
+			c.Leaving = true
+			x = &c
+			departing[x.Service] = append(departing[x.Service], id)
+		}
+		l = append(l, x)
+	}
+	return l, departing
+}
+
+// unmark updates the mark of a server that gets a new entry; old is the previous one, or nil.
+// The lock is held.
+func (s *Cache) unmark(old, x *Server) {
+	m, ok := s.leaving[x.ID]
+	if !ok {
+		return
+	}
+	same := m.startedAt == x.StartedAt
+	if x.StartedAt == 0 && old != nil {
+		same = same && old.Address == x.Address && (x.Leaving || !old.Leaving)
+	}
+	if !same {
+		delete(s.leaving, x.ID)
+		return
+	}
+	m.removedAt = time.Time{}
+	s.leaving[x.ID] = m
+}
+
+// markRemoved updates the mark of a server whose entry was removed. Without a known start,
+// nothing would tell the next process from this one. The lock is held.
+func (s *Cache) markRemoved(id string) {
+	m, ok := s.leaving[id]
+	if !ok {
+		return
+	}
+	if m.startedAt == 0 {
+		delete(s.leaving, id)
+		return
+	}
+	m.removedAt = s.now()
+	s.leaving[id] = m
+}
+
+// expireMarks removes the marks of processes whose entries have been unknown for leavingTTL.
+// The lock is held.
+func (s *Cache) expireMarks() {
+	for id, m := range s.leaving {
+		if !m.removedAt.IsZero() && s.now().Sub(m.removedAt) > leavingTTL {
+			delete(s.leaving, id)
+		}
+	}
+}
--- a/core/relay/view.go
+++ b/core/relay/view.go
@@ -17,6 +17,9 @@
 	// Servers holds the servers of each service, in the order of their ids, without
 	// those that are leaving or in a failure domain that is taken out.
 	Servers map[string][]*Server
+	// Departing holds the IDs of the servers of each service that stated to this node that
+	// they are leaving, in no order.
+	Departing map[string][]string
 
 	routesByHost     map[string][]*Route // longest prefix first
 	serviceByAddress map[string]string   // of each address
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -81,6 +81,7 @@
 	drain           drain
 	requestRetries  retries // of requests that this node sends to backend servers
 	crashes         suspect.Counter
+	serverGuard     serverGuard
 	sampler         sampler
 	meter           *meter
 	taskRetries     retries // of tasks that this node schedules as coordinator
@@ -145,12 +146,13 @@
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.cache.Now, n.roster.Now = time.Now, time.Now
 	n.sampler.now, n.crashes.Now = time.Now, time.Now
+	n.serverGuard = serverGuard{cache: &n.cache, log: n.Log}
 	n.drain = newDrain()
 	n.meter = newMeter()
 	n.scheduler.meter, n.scheduler.sample = n.meter, n.sampler.sample
 	n.requestRetries = retries{settings: s, slackShare: n.nodeShare}
 	n.taskRetries = retries{settings: s, slackShare: n.coordinatorShare}
-	n.scheduler.pool, n.scheduler.log = &n.pool, n.Log
+	n.scheduler.pool, n.scheduler.log, n.scheduler.guard = &n.pool, n.Log, &n.serverGuard
 	n.scheduler.core = placement.Scheduler{Now: time.Now, View: n.cache.View, Region: s.Region, CountFirst: n.taskRetries.countFirst, TakeRetry: n.takeTaskRetry}
 	n.tableFollower = tableFollower{settings: s, tables: &n.tableCache, cache: &n.cache, roster: &n.roster, log: n.Log, mesh: n.mesh.Load}
 	n.tableFollower.core = fanout.Follower{Self: s.Peer, Now: time.Now}
@@ -223,6 +225,7 @@
 	s := &proxy.Server{
 		Protocol: platform.Protocol(), View: n.cache.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
 		Pool: &n.pool, Schedule: n.schedulerClient.place, Report: n.schedulerClient.report,
+		Guard:      n.serverGuard.guard,
 		CountFirst: n.requestRetries.countFirst, TakeRetry: n.requestRetries.takeRetry,
 		IsPoison: n.crashes.IsPoison, OnBroken: n.onBroken, OnSuccess: n.onSuccess, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
 		EndPlacements: n.drain.placements, EndRequests: n.drain.requests,
--- /dev/null
+++ b/io/edge/leaving_test.go
@@ -0,0 +1,139 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	platformstandin "bergamotspring/platform/standin"
+)
+
+// registerProcess writes the entry of a server's process that started at the given time.
+func (w *testFleet) registerProcess(s *platformstandin.Server, service, domain string, startedAt, sequence int) {
+	w.store.Put("servers", s.ID, map[string]any{
+		"service": service, "address": s.Address, "zone": domain, "slots": 6, "state": "ready", "sequence": sequence, "born": startedAt,
+	})
+}
+
+// A server whose responses state that it is leaving gets no more requests from a node that saw one,
+// though its entry says ready, until another process has its ID.
+func TestServerLeavingInResponse(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		s := w.servers["plain-a"]
+		w.registerProcess(s, "plain", "a", 1000, 1)
+		time.Sleep(2 * time.Second)
+		s.Leaving = true
+		get := func(id string) {
+			t.Helper()
+			if r := w.request("a1", http.MethodGet, "/read/x", id); r.status != 200 {
+				t.Errorf("%s: got %d, want 200", id, r.status)
+			}
+		}
+		get("first")
+		w.registerProcess(s, "plain", "a", 1000, 2)
+		for i := range 5 {
+			get(fmt.Sprint("later", i))
+			time.Sleep(time.Second)
+		}
+		if n := len(s.Runs()); n != 1 {
+			t.Errorf("got %d runs at the leaving server, want 1", n)
+		}
+		s.Leaving = false
+		w.registerProcess(s, "plain", "a", 9000, 1)
+		time.Sleep(2 * time.Second)
+		get("restarted")
+		if n := len(s.Runs()); n != 2 {
+			t.Errorf("got %d runs after the server started again, want 2", n)
+		}
+		if got := len(w.log.matching(`"server_leaving"`)); got != 1 {
+			t.Errorf("got %d log lines, want 1", got)
+		}
+	})
+}
+
+// A refusal with the header counts too.
+func TestServerLeavingInRefusal(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		s := w.servers["plain-a"]
+		s.Leaving = true
+		reject := func() platformstandin.Fault { return platformstandin.FaultReject }
+		s.SharedFault = reject
+		for i := range 3 {
+			if r := w.request("a1", http.MethodPost, "/file/x", fmt.Sprint(i)); r.status != 200 {
+				t.Errorf("got %d, want 200", r.status)
+			}
+		}
+		if got := len(w.log.matching(`"send_failed"`, "plain-a")); got != 1 {
+			t.Errorf("got %d requests at the leaving server, want 1", got)
+		}
+	})
+}
+
+// Model requests are placed by another node, which did not see the response: it places none at the
+// server for this node, and one that it has placed there already is not sent.
+func TestModelServerLeavingInResponse(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.stream("a2", "/draft/x", "0")
+		s := w.servers["model-a"]
+		if len(s.Runs()) == 0 {
+			s = w.servers["model-b"]
+		}
+		runs := len(s.Runs())
+		s.Leaving = true
+		var g sync.WaitGroup
+		for i := range 4 { // of the later ones some are placed after the first response
+			g.Go(func() {
+				time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+				if r := w.stream("a2", "/draft/x", fmt.Sprint("together", i)); r.status != 200 || r.body != fullStream(6) {
+					t.Errorf("got %d %q, want the whole stream", r.status, r.body)
+				}
+			})
+		}
+		g.Wait()
+		if got := len(w.log.matching(`"send_failed"`, s.ID, "server is leaving")); got == 0 {
+			t.Errorf("got no placement at %s after its response", s.ID)
+		}
+		if got := len(s.Runs()) - runs; got < 1 || got > 2 {
+			t.Errorf("got %d runs at %s, want those placed with the first one", got, s.ID)
+		}
+		runs, unsent := len(s.Runs()), len(w.log.matching(`"send_failed"`, s.ID))
+		time.Sleep(6 * time.Second) // longer than all backoffs
+		for i := range 4 {
+			if r := w.stream("a2", "/draft/x", fmt.Sprint("later", i)); r.status != 200 {
+				t.Errorf("got %d, want 200", r.status)
+			}
+		}
+		if got := len(s.Runs()) - runs; got != 0 {
+			t.Errorf("got %d more runs at %s, want 0", got, s.ID)
+		}
+		if got := len(w.log.matching(`"send_failed"`, s.ID)) - unsent; got != 0 {
+			t.Errorf("got %d more placements at %s, want 0", got, s.ID)
+		}
+		if got := len(w.log.matching(`"repeated"`)); got != 0 {
+			t.Errorf("got %d retries from the budget, want 0", got)
+		}
+	})
+}
+
+// A stage server that states that it is leaving in its response to a batch gets no more batches.
+func TestStageServerLeavingInResponse(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.stream("a1", "/draft/x", "0")
+		s := w.servers["encode-a"]
+		if len(s.BatchSizes()) == 0 {
+			s = w.servers["encode-b"]
+		}
+		before := len(s.BatchSizes())
+		s.Leaving = true
+		for i := range 8 {
+			if r := w.stream("a1", "/draft/x", fmt.Sprint("later", i)); r.status != 200 {
+				t.Errorf("got %d, want 200", r.status)
+			}
+		}
+		if got := len(s.BatchSizes()) - before; got > 1 {
+			t.Errorf("got %d batches at the leaving server, want at most 1", got)
+		}
+	})
+}
--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -39,6 +39,7 @@
 	log    *zap.Logger
 	sample func(id string) bool // reports whether the ordinary lines of a request are logged
 	meter  *meter
+	guard  *serverGuard
 	work   sync.WaitGroup // I/O in progress
 
 	mu         sync.Mutex
@@ -190,6 +191,7 @@
 	if err != nil {
 		return placement.BatchBroken, nil, err
 	}
+	q.Guard = h.guard.guard(&c.Server)
 	var l []placement.TaskResult
 	status, _, err := h.pool.Whole(ctx, q, maxStageResponse, func(status int, b []byte) (mark string, err error) {
 		if status == http.StatusOK {
@@ -230,6 +232,7 @@
 	q, err := platform.StageRelease(f)
 	status := 0
 	if err == nil {
+		q.Guard = h.guard.messageGuard(&f.Server)
 		status, _, err = h.pool.Whole(ctx, q, maxStageResponse, func(_ int, b []byte) (string, error) {
 			return platform.StageMark(b), platform.StageReleased(b)
 		})
@@ -246,7 +249,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
 	free := int64(0)
-	status, _, err := h.pool.Whole(ctx, platform.StageQuery(l), maxStageResponse, func(status int, b []byte) (mark string, err error) {
+	q := platform.StageQuery(l)
+	q.Guard = h.guard.messageGuard(&l.Server)
+	status, _, err := h.pool.Whole(ctx, q, maxStageResponse, func(status int, b []byte) (mark string, err error) {
 		if status == http.StatusOK {
 			free, err = platform.StageCapacity(b)
 		}
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -42,7 +42,36 @@
 	// Echo names a header that the server repeats in its response; a response with
 	// another value belongs to another request. A value is sent once on a connection. If empty, this
 	// is not checked.
-	Echo string
+	Echo  string
+	Guard Guard
+}
+
+// Guard lets the owner of a request decide at the last moment whether it is sent, and see what
+// the server's response says about the server. Both fields may be nil.
+type Guard struct {
+	// Admit is called once there is a connection, before the first byte is written. Its error
+	// keeps the request from being sent.
+	Admit func() error
+	// OnHead is called with the status and the header of the response.
+	OnHead func(status int, h http.Header)
+}
+
+func (g *Guard) admit(ctx context.Context) error {
+	// After a pause of the process the deadline may have passed while the context does not tell yet,
+	// as its timer has not run.
+	if d, ok := ctx.Deadline(); ok && !time.Now().Before(d) {
+		return context.DeadlineExceeded
+	}
+	if g.Admit == nil {
+		return nil
+	}
+	return g.Admit()
+}
+
+func (g *Guard) onHead(status int, h http.Header) {
+	if g.OnHead != nil {
+		g.OnHead(status, h)
+	}
 }
 
 // Response is a response whose header was read. Body ends with io.EOF only if it is
@@ -112,11 +141,9 @@
 		return nil, nil, &UnsentError{Refused: refused(err), Cause: err}
 	}
 	c.echo = r.Echo
-	// After a pause of the process the deadline may have passed while the context does not tell yet,
-	// as its timer has not run.
-	if d, ok := ctx.Deadline(); ok && !time.Now().Before(d) {
+	if err := r.Guard.admit(ctx); err != nil {
 		p.put(c)
-		return nil, nil, &UnsentError{Cause: context.DeadlineExceeded}
+		return nil, nil, &UnsentError{Cause: err}
 	}
 	c.seen.add(r.id())
 	stop := context.AfterFunc(ctx, c.abort)
@@ -135,6 +162,7 @@
 		c.close()
 		return nil, nil, &BrokenError{Cause: err}
 	}
+	r.Guard.onHead(a.StatusCode, a.Header)
 	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: !a.Close && reusable(a)}, nil
 }
 
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -142,6 +142,7 @@
 	r, err := s.Pool.Do(ctx, &exchange.Request{
 		Address: t.Address, Method: q.method, Target: q.target, Host: q.host, Body: q.body,
 		Header: s.Protocol.Write(q.header, x), Echo: s.Protocol.Echo,
+		Guard: s.Guard(t),
 	})
 	var u *exchange.UnsentError
 	if err != nil {
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -34,10 +34,12 @@
 func (q *request) generate(ctx context.Context) {
 	a := q.placementRequest()
 	out := &stream{request: q, lastEvent: q.meta.LastEvent}
+	var tried []string
 	runs := 0
 	for n := 0; n < maxPlacements; n++ {
 		a.Attempt, q.attempt = n, n
 		a.Remaining, a.Goal = q.remaining(), q.route.Goal-time.Since(q.arrived)
+		a.Avoid = slices.Concat(tried, q.server.View().Departing[q.service])
 		g, err := q.schedule(ctx, a)
 		if ctx.Err() != nil {
 			q.contextEnded(ctx)
@@ -66,7 +68,7 @@
 			break
 		}
 		if e != runInputLost {
-			a.Avoid = append(a.Avoid, g.Server.ID)
+			tried = append(tried, g.Server.ID)
 		}
 		a.Retry, a.InputLost = e != runBroken, e == runInputLost
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -65,6 +65,8 @@
 	Region   string
 	Domain   string
 	Pool     *exchange.Pool
+	// Guard returns the guard of a request to a server.
+	Guard func(t *relay.Server) exchange.Guard
 	// Schedule requests a placement from the region coordinator.
 	Schedule func(ctx context.Context, a placement.Request) (placement.Decision, error)
 	// Report reports the progress of a placed request to the region coordinator, or,
