Servers that reject with Retry-After get nothing for that time

What callers saw: a server that turns a request away with 503 may say for how long it wants nothing from this node (Retry-After). Nodes ignored that: they went on sending to it, each such request cost a retry of the shared budget, and once that was used up callers were refused although other servers were free.

Cause: only a soft backoff existed, and none after a rejection of a plain or model request.

Change: platform reads the header, of a 503 only; a value that is no number of seconds is ignored and logged. core/relay.HoldOffs keeps the time for the server's process, at most 5 minutes, and io/edge/serverguard.go admits no call of any kind to it before that: plain and model requests, batches, releases, capacity queries. Plain requests take other servers. Model requests name the server in Avoid, so that the coordinator places them elsewhere while it may place those of other nodes there; what it had placed there is not sent but reported as rejected, which does not make the coordinator back off, and is asked again without a retry from the budget. A hold-off that ends before the stages of the request can be complete does not count. If all servers hold the node off, the request is refused at once: with the shortest of the times, or a third of the request's remaining time if that is less, as another node may serve it sooner. The coordinator's own batches and releases wait, and its estimates leave such servers out: if all servers of a stage hold it off for too long, requests are refused at once. A 503 without Retry-After is handled as before. The messages between nodes have not changed.

Tests, seen to fail without the observation of the header (the code as before): TestHoldOff (callers got 503, want 200), TestAllServersHoldOff, TestModelServerHoldOff, TestStageServerHoldOff. One of these or of the unit tests fails without each of: the check before the send, Avoid, the refusal at once, the choice of other plain servers, the report as rejected, the coordinator's hold-off of batches, of releases, and in its estimates.

--- a/core/placement/backlog.go
+++ b/core/placement/backlog.go
@@ -212,12 +212,12 @@
 	}
 	w := s.Batching
 	full := w.BatchTime + time.Duration(w.MaxBatch)*w.TaskTime
-	n := max(1, len(h.nearestStageServers(h.pool(service))))
+	n, _ := h.serving(service)
 	return float64(n*w.MaxBatch) / full.Seconds()
 }
 
 // backlogTime returns how long the servers of a service take for the backlog that goes before work
-// of a rank.
+// of a rank, from when one of them takes batches.
 func (h *Scheduler) backlogTime(service string, r rank) time.Duration {
 	rate := h.rate(service)
 	if rate == 0 {
@@ -225,7 +225,8 @@
 	}
 	b := h.backlog(service)
 	n := float64(b.ahead(r))
-	return time.Duration(n / (rate * b.share(r, rate, h.Now())) * float64(time.Second))
+	_, wait := h.serving(service)
+	return wait + time.Duration(n/(rate*b.share(r, rate, h.Now()))*float64(time.Second))
 }
 
 // timeBehindBacklog returns the expected time until the first event of a waiting job behind the
--- a/core/placement/capacity.go
+++ b/core/placement/capacity.go
@@ -68,7 +68,7 @@
 func (q *stagePool) releasing(now time.Time) []*stageServer {
 	var l []*stageServer
 	for _, m := range q.stageServers {
-		if !m.releasing && len(m.releasable) > 0 && !now.Before(m.releaseAfter) {
+		if !m.releasing && len(m.releasable) > 0 && !now.Before(m.releaseAfter) && !now.Before(m.heldUntil) {
 			l = append(l, m)
 		}
 	}
--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -40,20 +40,21 @@
 		return 0
 	}
 	w := s.Batching
-	servers := max(1, len(h.nearestStageServers(h.pool(service))))
+	servers, _ := h.serving(service)
 	each := (tasks + servers - 1) / servers
 	batches := (each + w.MaxBatch - 1) / max(1, w.MaxBatch)
 	return time.Duration(batches)*w.BatchTime + time.Duration(min(each, w.MaxBatch))*w.TaskTime
 }
 
 // queueTime returns how long the servers of a service take for the queued tasks that are
-// at least as urgent as a priority.
+// at least as urgent as a priority, from when one of them takes batches.
 func (h *Scheduler) queueTime(service string, priority int) time.Duration {
 	rate, q := h.rate(service), h.pools[service]
 	if rate == 0 || q == nil {
 		return 0
 	}
-	return time.Duration(float64(q.queue.ahead(priority)) / rate * float64(time.Second))
+	_, wait := h.serving(service)
+	return wait + time.Duration(float64(q.queue.ahead(priority))/rate*float64(time.Second))
 }
 
 // longestPath returns the longest time through the incomplete stages of a job, starting at
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -36,6 +36,7 @@
 	service      string
 	queue        taskQueue
 	stageServers map[string]*stageServer
+	heldUntil    time.Time // end of the last hold-off of its servers
 
 	nearest     []*stageServer // the result of nearestStageServers for nearestView
 	nearestView *relay.View    // nil: to be computed
@@ -57,8 +58,9 @@
 	queried        bool      // a response to a CapacityQuery has arrived
 	backoffUntil   time.Time
 	backoff        time.Duration
-	timeRatio      float64 // measured over expected batch time, smoothed; 0: not measured yet
-	lost           bool    // its process ended and its results with it
+	heldUntil      time.Time // end of the hold-off that the server asked for
+	timeRatio      float64   // measured over expected batch time, smoothed; 0: not measured yet
+	lost           bool      // its process ended and its results with it
 }
 
 // unusedResult is a stored result that is no longer needed.
@@ -138,7 +140,7 @@
 func available(all []*stageServer, w *relay.BatchSpec, now time.Time) []*stageServer {
 	var l []*stageServer
 	for _, m := range all {
-		if m.batches < w.Concurrency && !m.querying && !now.Before(m.backoffUntil) {
+		if m.batches < w.Concurrency && !m.querying && !m.resting(now) {
 			l = append(l, m)
 		}
 	}
@@ -210,9 +212,9 @@
 		return
 	}
 	groups := h.taskGroups(q)
-	near := map[string]bool{} // failure domains with a server that is not backing off
+	near := map[string]bool{} // failure domains with a server that is not resting
 	for _, m := range all {
-		if !now.Before(m.backoffUntil) {
+		if !m.resting(now) {
 			near[m.server.Domain] = true
 		}
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -3,8 +3,8 @@
 // and serves callers.
 //
 // No lock is held during I/O. The locks of the scheduler, the table watches, the table follower and
-// the connection pool are taken before those of the caches, the roster and the retry budgets; the
-// others are taken one at a time.
+// the connection pool are taken before those of the caches, the roster and the retry budgets, that of
+// the balancer before that of the hold-offs; the others are taken one at a time.
 package edge
 
 import (
@@ -146,7 +146,8 @@
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.cache.Now, n.roster.Now = time.Now, time.Now
 	n.sampler.now, n.crashes.Now = time.Now, time.Now
-	n.serverGuard = serverGuard{cache: &n.cache, log: n.Log}
+	n.serverGuard = serverGuard{cache: &n.cache, log: n.Log, onHoldOff: n.scheduler.holdOff}
+	n.serverGuard.holdOffs.Now = time.Now
 	n.drain = newDrain()
 	n.meter = newMeter()
 	n.scheduler.meter, n.scheduler.sample = n.meter, n.sampler.sample
@@ -225,7 +226,7 @@
 	s := &proxy.Server{
 		Protocol: platform.Protocol(), View: n.cache.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
 		Pool: &n.pool, Schedule: n.schedulerClient.place, Report: n.schedulerClient.report,
-		Guard:      n.serverGuard.guard,
+		Guard: n.serverGuard.guard, HoldOff: n.serverGuard.holdOff,
 		CountFirst: n.requestRetries.countFirst, TakeRetry: n.requestRetries.takeRetry,
 		IsPoison: n.crashes.IsPoison, OnBroken: n.onBroken, OnSuccess: n.onSuccess, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
 		EndPlacements: n.drain.placements, EndRequests: n.drain.requests,
--- /dev/null
+++ b/io/edge/holdoff_test.go
@@ -0,0 +1,180 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	platformstandin "bergamotspring/platform/standin"
+)
+
+// rejectFor makes a server reject all requests with a Retry-After.
+func rejectFor(s *platformstandin.Server, retryAfter string) {
+	s.RetryAfter = retryAfter
+	s.SharedFault = func() platformstandin.Fault { return platformstandin.FaultReject }
+}
+
+// arrivedSince counts the requests that reached a server after a time.
+func arrivedSince(s *platformstandin.Server, t time.Time) int {
+	n := 0
+	for _, a := range s.Arrivals() {
+		if a.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// A server that rejects a request with Retry-After gets nothing from the node for that time, while
+// other nodes send to it; a value that is no duration is ignored.
+func TestHoldOff(t *testing.T) {
+	for _, c := range []struct {
+		retryAfter string
+		held       time.Duration
+	}{{"2", 2 * time.Second}, {"0.75", 750 * time.Millisecond}, {"", 0}, {"-1", 0}, {"soon", 0}, {"NaN", 0}} {
+		runFleet(t, func(w *testFleet) {
+			s := w.servers["plain-a"]
+			rejectFor(s, c.retryAfter)
+			get := func() {
+				if r := w.request("a1", http.MethodGet, "/read/x", fmt.Sprint(time.Now().UnixNano())); r.status != 200 {
+					t.Errorf("Retry-After %q: got %d, want 200", c.retryAfter, r.status)
+				}
+			}
+			get()
+			rejected := time.Now()
+			for time.Since(rejected) < c.held-100*time.Millisecond {
+				get()
+			}
+			if n := arrivedSince(s, rejected); n != 0 {
+				t.Errorf("Retry-After %q: got %d requests at the server, want 0", c.retryAfter, n)
+			}
+			w.request("a2", http.MethodGet, "/read/x", "of a2")
+			if n := arrivedSince(s, rejected); n != 1 {
+				t.Errorf("Retry-After %q: got %d requests of another node, want 1", c.retryAfter, n)
+			}
+			time.Sleep(100 * time.Millisecond)
+			get()
+			if n := arrivedSince(s, rejected); n != 2 {
+				t.Errorf("Retry-After %q: got %d requests at the end, want 2", c.retryAfter, n)
+			}
+		})
+	}
+}
+
+// If all servers of a service hold the node off, requests are refused at once, with the time after which
+// the first one takes requests again, or a third of the request's time if that is less.
+func TestAllServersHoldOff(t *testing.T) {
+	for _, c := range []struct {
+		path, server, first string
+		want                float64
+	}{{"/read/x", "plain-", "1.00", 1}, {"/read/x", "plain-", "60", 1.32}, {"/draft/x", "model-", "1.00", 1}} {
+		runFleet(t, func(w *testFleet) {
+			for i, d := range []string{"b", "a", "c"} {
+				rejectFor(w.servers[c.server+d], []string{c.first, "90", "90"}[i])
+			}
+			var start time.Time
+			var r response
+			for i := range 4 { // until all have rejected one
+				start = time.Now()
+				r = w.request("a2", http.MethodPost, c.path, fmt.Sprint(i), "X-Bergamotspring-Chunks", "0,0")
+				if r.status != 503 {
+					t.Errorf("%s: got %d, want 503", c.path, r.status)
+				}
+			}
+			got, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			if err != nil || got > c.want+0.01 || got < c.want-0.3 || r.took > 20*time.Millisecond {
+				t.Errorf("%s: refused after %v with Retry-After %v, want %v at once", c.path, r.took, got, c.want)
+			}
+			for _, d := range []string{"a", "b", "c"} {
+				if n := arrivedSince(w.servers[c.server+d], start); n != 0 {
+					t.Errorf("%s: got %d requests at %s, want 0", c.path, n, d)
+				}
+			}
+		})
+	}
+}
+
+// A model server that holds a node off gets no request of that node, also none that the coordinator
+// placed there before; it serves other nodes.
+func TestModelServerHoldOff(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.stream("a2", "/draft/x", "0")
+		s := w.servers["model-a"]
+		if len(s.Runs()) == 0 {
+			s = w.servers["model-b"]
+		}
+		var once sync.Once
+		var rejected time.Time
+		s.RetryAfter = "3"
+		s.SharedFault = func() (f platformstandin.Fault) {
+			once.Do(func() { f, rejected = platformstandin.FaultReject, time.Now() })
+			return f
+		}
+		var g sync.WaitGroup
+		for i := range 6 { // of the later ones some are placed after the first response
+			g.Go(func() {
+				time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+				if r := w.stream("a2", "/draft/x", fmt.Sprint("together", i)); r.status != 200 || r.body != fullStream(6) {
+					t.Errorf("got %d %q, want the whole stream", r.status, r.body)
+				}
+			})
+		}
+		g.Wait()
+		if got := len(w.log.matching(`"send_failed"`, s.ID, "asked for a pause")); got == 0 {
+			t.Errorf("got no placement at %s after its response", s.ID)
+		}
+		if got := len(w.log.matching(`"repeated"`)); got > 2 {
+			t.Errorf("got %d retries from the budget, want those of requests that were rejected", got)
+		}
+		if n := arrivedSince(s, rejected.Add(20*time.Millisecond)); n != 0 {
+			t.Errorf("got %d requests at %s, want 0", n, s.ID)
+		}
+		if r := w.stream("b1", "/draft/x", "of b1", "X-Bergamotspring-Chunks", "0,0"); r.status != 200 || arrivedSince(s, rejected.Add(20*time.Millisecond)) != 1 {
+			t.Errorf("got %d and %d requests of another node, want 200 and 1", r.status, arrivedSince(s, rejected.Add(20*time.Millisecond)))
+		}
+		unsent := len(w.log.matching(`"send_failed"`, s.ID))
+		if r := w.stream("a2", "/draft/x", "later"); r.status != 200 {
+			t.Errorf("got %d, want 200", r.status)
+		}
+		if got := len(w.log.matching(`"send_failed"`, s.ID)) - unsent; got != 0 {
+			t.Errorf("got %d more placements at %s, want 0", got, s.ID)
+		}
+	})
+}
+
+// A stage server that rejects a batch with Retry-After gets no batch, release or query of the coordinator
+// for that time.
+func TestStageServerHoldOff(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.stream("a1", "/draft/x", "0")
+		s := w.servers["encode-a"]
+		if len(s.BatchSizes()) == 0 {
+			s = w.servers["encode-b"]
+		}
+		var once sync.Once
+		var rejected time.Time
+		s.RetryAfter = "3"
+		s.SharedFault = func() (f platformstandin.Fault) {
+			once.Do(func() { f, rejected = platformstandin.FaultReject, time.Now() })
+			return f
+		}
+		for i := range 3 {
+			if r := w.stream("a1", "/draft/x", fmt.Sprint("held", i)); r.status != 200 {
+				t.Errorf("got %d, want 200", r.status)
+			}
+		}
+		if rejected.IsZero() || time.Since(rejected) > 2900*time.Millisecond || arrivedSince(s, rejected) != 0 {
+			t.Errorf("got %d requests at %s %v after its response, want 0", arrivedSince(s, rejected), s.ID, time.Since(rejected))
+		}
+		if got := w.log.matching(s.ID, "asked for a pause"); len(got) != 0 {
+			t.Errorf("got calls that the coordinator started during the hold-off: %v", got)
+		}
+		time.Sleep(3 * time.Second)
+		if r := w.stream("a1", "/draft/x", "after"); r.status != 200 || arrivedSince(s, rejected) == 0 {
+			t.Errorf("got %d and %d requests at %s after the hold-off, want 200 and some", r.status, arrivedSince(s, rejected), s.ID)
+		}
+	})
+}
--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"bergamotspring/core/placement"
+	"bergamotspring/core/relay"
 	"bergamotspring/io/exchange"
 	"bergamotspring/io/wait"
 	"bergamotspring/platform"
@@ -162,6 +163,11 @@
 	})
 }
 
+// holdOff keeps batches and releases from a server that asked for it, if it is one of a stage.
+func (h *scheduler) holdOff(p relay.Process, d time.Duration) {
+	h.do(func(s *placement.Scheduler) { s.HoldOff(p, d) })
+}
+
 // run calls Tick periodically until the context ends.
 func (h *scheduler) run(ctx context.Context) {
 	wait.Every(ctx, tickInterval, func() { h.do((*placement.Scheduler).Tick) })
@@ -201,6 +207,8 @@
 	})
 	var u *exchange.UnsentError
 	switch {
+	case errors.Is(err, relay.ErrHeldOff):
+		return placement.BatchRejected, nil, err
 	case errors.As(err, &u) && u.Refused:
 		return placement.BatchRefused, nil, err
 	case u != nil:
--- a/io/edge/serverguard.go
+++ b/io/edge/serverguard.go
@@ -1,10 +1,11 @@
 package edge
 
 // This file defines what a node does about servers that state in a response that they are
-// leaving.
+// leaving, or for how long they want nothing from this node.
 
 import (
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -13,10 +14,14 @@
 	"bergamotspring/platform"
 )
 
-// serverGuard keeps requests from servers that are leaving. It is safe for concurrent use.
+// serverGuard keeps requests from servers that are leaving or hold this node off. It is safe for
+// concurrent use.
 type serverGuard struct {
-	cache *relay.Cache
-	log   *zap.Logger
+	cache    *relay.Cache
+	holdOffs relay.HoldOffs
+	log      *zap.Logger
+	// onHoldOff is called at the start of each hold-off.
+	onHoldOff func(p relay.Process, d time.Duration)
 }
 
 // guard returns the guard of a request to a server.
@@ -27,9 +32,9 @@
 			if g.cache.Leaving(p) {
 				return relay.ErrLeaving
 			}
-			return nil
+			return g.admit(p)
 		},
-		OnHead: func(_ int, h http.Header) { g.observe(p, h) },
+		OnHead: func(status int, h http.Header) { g.observe(p, status, h) },
 	}
 }
 
@@ -37,13 +42,39 @@
 // server stores for earlier requests are still sent, while the scheduler knows the server.
 func (g *serverGuard) messageGuard(t *relay.Server) exchange.Guard {
 	x := g.guard(t)
-	x.Admit = nil
+	p := g.cache.Process(t)
+	x.Admit = func() error { return g.admit(p) }
 	return x
 }
 
-// observe records what the header of a response says about its server.
-func (g *serverGuard) observe(p relay.Process, h http.Header) {
+// admit returns relay.ErrHeldOff if a process holds this node off.
+func (g *serverGuard) admit(p relay.Process) error {
+	if g.holdOffs.Remaining(p) > 0 {
+		return relay.ErrHeldOff
+	}
+	return nil
+}
+
+// holdOff returns for how long a server still holds this node off, 0 if it does not.
+func (g *serverGuard) holdOff(t *relay.Server) time.Duration {
+	return g.holdOffs.Remaining(t.Process())
+}
+
+// observe records what the status and the header of a response say about its server.
+func (g *serverGuard) observe(p relay.Process, status int, h http.Header) {
 	if platform.Leaving(h) && g.cache.MarkLeaving(p) {
 		g.log.Info("server_leaving", zap.String("server", p.ID))
 	}
+	d, err := platform.HoldOff(status, h)
+	if err != nil {
+		g.log.Warn("hold_off_ignored", zap.String("server", p.ID), zap.Error(err))
+		return
+	}
+	if d <= 0 {
+		return
+	}
+	if g.holdOffs.Begin(p, d) {
+		g.log.Info("hold_off", zap.String("server", p.ID), zap.Duration("asked", d), zap.Duration("retry_after", g.holdOffs.Remaining(p)))
+	}
+	g.onHoldOff(p, g.holdOffs.Remaining(p))
 }
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -51,11 +51,9 @@
 	runs := 0
 	for n := 0; ; n++ {
 		v := s.View()
-		t := s.Balancer.Pick(v, q.service, s.Domain, s.Region, time.Now(), func(x *relay.Server) bool {
-			return relay.Allows(q.route, q.org, x.Region)
-		}, tried)
+		t := s.Balancer.Pick(v, q.service, s.Domain, s.Region, time.Now(), q.allows, tried)
 		if t == nil {
-			q.fail("no server", retryAfterBusy)
+			q.fail("no server", q.retryAfter())
 			return
 		}
 		tried = append(tried, t.ID)
@@ -189,7 +187,7 @@
 	case a.err != nil:
 		q.fail(a.err.Error(), retryAfterBusy)
 	case a.notRun:
-		q.fail("not run by servers", retryAfterBusy)
+		q.fail("not run by servers", q.retryAfter())
 	default:
 		q.forward(a, t)
 	}
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -39,8 +39,7 @@
 	for n := 0; n < maxPlacements; n++ {
 		a.Attempt, q.attempt = n, n
 		a.Remaining, a.Goal = q.remaining(), q.route.Goal-time.Since(q.arrived)
-		a.Avoid = slices.Concat(tried, q.server.View().Departing[q.service])
-		g, err := q.schedule(ctx, a)
+		g, err := q.schedule(ctx, a, tried)
 		if ctx.Err() != nil {
 			q.contextEnded(ctx)
 			return
@@ -73,11 +72,18 @@
 		a.Retry, a.InputLost = e != runBroken, e == runInputLost
 	}
 	q.server.Report(placement.Report{ID: q.meta.ID, Attempt: q.attempt, Status: placement.RunAbandoned})
-	q.fail("model servers failed", retryAfterBusy)
+	q.fail("model servers failed", q.retryAfter())
 }
 
-// schedule requests a placement, until EndPlacements ends.
-func (q *request) schedule(ctx context.Context, a placement.Request) (placement.Decision, error) {
+// schedule requests a placement on a server that was not tried, until EndPlacements ends. If all
+// servers hold this node off, it refuses at once.
+func (q *request) schedule(ctx context.Context, a placement.Request, tried []string) (placement.Decision, error) {
+	avoid, left := q.avoid(tried)
+	if !left {
+		q.server.Report(placement.Report{ID: a.ID, Attempt: a.Attempt, Status: placement.RunAbandoned})
+		return placement.Decision{Reason: relay.ErrHeldOff.Error(), RetryAfter: q.retryAfter()}, nil
+	}
+	a.Avoid = avoid
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(q.server.EndPlacements, func() { end(errStopping) })()
@@ -167,7 +173,7 @@
 	case a.err != nil:
 		q.log("send_failed", zap.String("server", g.Server.ID), zap.Bool("not_run", a.notRun), zap.Error(a.err))
 		if a.notRun {
-			q.report(g, placement.RunNotSent)
+			q.report(g, unsentStatus(a.err))
 			return runNotSent
 		}
 		q.report(g, placement.RunConnectionLost)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -67,6 +67,8 @@
 	Pool     *exchange.Pool
 	// Guard returns the guard of a request to a server.
 	Guard func(t *relay.Server) exchange.Guard
+	// HoldOff returns for how long a server wants nothing from this node, 0 if it does not say so.
+	HoldOff func(t *relay.Server) time.Duration
 	// Schedule requests a placement from the region coordinator.
 	Schedule func(ctx context.Context, a placement.Request) (placement.Decision, error)
 	// Report reports the progress of a placed request to the region coordinator, or,
