--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -21,7 +21,7 @@
 func arrivedSince(s *platformstandin.Server, t time.Time) int {
 	n := 0
 	for _, a := range s.Arrivals() {
-		if a.After(t) {
+		if a.At.After(t) {
 			n++
 		}
 	}
--- a/io/edge/leaving_test.go
+++ b/io/edge/leaving_test.go
@@ -17,6 +17,9 @@
 	})
 }
 
+// leaving is the Leaving of a server whose responses all state that it is leaving.
+func leaving() bool { return true }
+
 // A server whose responses state that it is leaving gets no more requests from a node that saw one,
 // though its entry says ready, until another process has its ID.
 func TestServerLeavingInResponse(t *testing.T) {
@@ -24,7 +27,7 @@
 		s := w.servers["plain-a"]
 		w.registerProcess(s, "plain", "a", 1000, 1)
 		time.Sleep(2 * time.Second)
-		s.Leaving = true
+		s.Leaving = leaving
 		get := func(id string) {
 			t.Helper()
 			if r := w.request("a1", http.MethodGet, "/read/x", id); r.status != 200 {
@@ -40,7 +43,7 @@
 		if n := len(s.Runs()); n != 1 {
 			t.Errorf("got %d runs at the leaving server, want 1", n)
 		}
-		s.Leaving = false
+		s.Leaving = nil
 		w.registerProcess(s, "plain", "a", 9000, 1)
 		time.Sleep(2 * time.Second)
 		get("restarted")
@@ -57,7 +60,7 @@
 func TestServerLeavingInRefusal(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		s := w.servers["plain-a"]
-		s.Leaving = true
+		s.Leaving = leaving
 		reject := func() platformstandin.Fault { return platformstandin.FaultReject }
 		s.SharedFault = reject
 		for i := range 3 {
@@ -81,7 +84,7 @@
 			s = w.servers["model-b"]
 		}
 		runs := len(s.Runs())
-		s.Leaving = true
+		s.Leaving = leaving
 		var g sync.WaitGroup
 		for i := range 4 { // of the later ones some are placed after the first response
 			g.Go(func() {
@@ -126,7 +129,7 @@
 			s = w.servers["encode-b"]
 		}
 		before := len(s.BatchSizes())
-		s.Leaving = true
+		s.Leaving = leaving
 		for i := range 8 {
 			if r := w.stream("a1", "/draft/x", fmt.Sprint("later", i)); r.status != 200 {
 				t.Errorf("got %d, want 200", r.status)
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -46,34 +46,6 @@
 	Guard Guard
 }
 
-// Guard lets the owner of a request decide at the last moment whether it is sent, and see what
-// the server's response says about the server. Both fields may be nil.
-type Guard struct {
-	// Admit is called once there is a connection, before the first byte is written. Its error
-	// keeps the request from being sent.
-	Admit func() error
-	// OnHead is called with the status and the header of the response.
-	OnHead func(status int, h http.Header)
-}
-
-func (g *Guard) admit(ctx context.Context) error {
-	// After a pause of the process the deadline may have passed while the context does not tell yet,
-	// as its timer has not run.
-	if d, ok := ctx.Deadline(); ok && !time.Now().Before(d) {
-		return context.DeadlineExceeded
-	}
-	if g.Admit == nil {
-		return nil
-	}
-	return g.Admit()
-}
-
-func (g *Guard) onHead(status int, h http.Header) {
-	if g.OnHead != nil {
-		g.OnHead(status, h)
-	}
-}
-
 // Response is a response whose header was read. Body ends with io.EOF only if it is
 // complete.
 type Response struct {
@@ -136,6 +108,9 @@
 // do sends a request and returns its response and the body, at whose end the connection is
 // returned to the pool or closed.
 func (p *Pool) do(ctx context.Context, r *Request) (*http.Response, *body, error) {
+	if err := r.Guard.admit(ctx); err != nil {
+		return nil, nil, &UnsentError{Cause: err}
+	}
 	c, err := p.get(ctx, r)
 	if err != nil {
 		return nil, nil, &UnsentError{Refused: refused(err), Cause: err}
