A plain request takes no retry from the budget when no server is left

What callers saw: after a failed or rejected send, a retry was taken from the shared budget before the node looked for another server. Without one, the retry was lost to other requests, and the server's own 500 was replaced by a 502. Servers that hold nodes off make that more frequent.

Cause: call took the retry first and picked the server in the next round.

Change: shouldRetry asks whether there is a server to pick; if not, the last response counts.

Test: TestNoServerLeftToRetry, before: got 502, want the server's 500; got 2 retries from the budget, want 0.

--- a/io/edge/faults_test.go
+++ b/io/edge/faults_test.go
@@ -320,3 +320,21 @@
 		}
 	})
 }
+
+// If no other server is left, nothing is taken from the retry budget, and the caller gets the response of
+// the last one.
+func TestNoServerLeftToRetry(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		s := w.servers["plain-c"] // the only one in the route's region
+		s.QueueFaults(platformstandin.FaultError, platformstandin.FaultReject)
+		if r := w.request("a1", http.MethodGet, "/south/x", "failed"); r.status != 500 || r.header.Get("X-Bergamotspring-Server-Stamp") == "" {
+			t.Errorf("got %d, want the server's 500", r.status)
+		}
+		if r := w.request("a1", http.MethodGet, "/south/x", "rejected"); r.status != 503 {
+			t.Errorf("got %d, want 503", r.status)
+		}
+		if got := w.log.matching(`"repeated"`); len(got) != 0 {
+			t.Errorf("got %d retries from the budget, want 0", len(got))
+		}
+	})
+}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -46,12 +46,10 @@
 
 // call serves a request for a plain service.
 func (q *request) call(ctx context.Context) {
-	s := q.server
 	var tried []string
 	runs := 0
-	for n := 0; ; n++ {
-		v := s.View()
-		t := s.Balancer.Pick(v, q.service, s.Domain, s.Region, time.Now(), q.allows, tried)
+	for {
+		t := q.pick(tried)
 		if t == nil {
 			q.fail("no server", q.retryAfter())
 			return
@@ -66,7 +64,7 @@
 			runs++
 			q.mayHaveRun = true
 		}
-		if !q.shouldRetry(a, t, n, runs) {
+		if !q.shouldRetry(a, tried, runs) || !q.takeRetry(a, t) {
 			q.finish(a, t)
 			return
 		}
@@ -74,20 +72,28 @@
 	}
 }
 
-// shouldRetry decides whether a request is sent to another server.
-func (q *request) shouldRetry(a *attempt, t *relay.Server, n, runs int) bool {
+// pick returns the server that a request is sent to next, nil if there is none.
+func (q *request) pick(tried []string) *relay.Server {
+	s := q.server
+	return s.Balancer.Pick(s.View(), q.service, s.Domain, s.Region, time.Now(), q.allows, tried)
+}
+
+// shouldRetry decides whether a request is worth sending to another server, and allowed to be.
+func (q *request) shouldRetry(a *attempt, tried []string, runs int) bool {
 	good := a.err == nil && !a.notRun && a.response.Status < http.StatusInternalServerError
-	if good || n+1 >= maxServers || q.remaining() < minRetryTime {
+	if good || len(tried) >= maxServers || q.remaining() < minRetryTime {
 		return false
 	}
 	if !a.notRun && (!q.route.Repeatable || runs >= q.route.Attempts) {
 		return false
 	}
+	return q.pick(tried) != nil
+}
+
+// takeRetry takes a retry from the budget, unless no server received the request.
+func (q *request) takeRetry(a *attempt, t *relay.Server) bool {
 	e := (*exchange.UnsentError)(nil)
-	if errors.As(a.err, &e) {
-		return true // no server received it, so it needs no retry budget
-	}
-	return q.retry(t)
+	return errors.As(a.err, &e) || q.retry(t)
 }
 
 // try sends a request to one server and reads its response.
