--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -3,8 +3,8 @@
 // and serves callers.
 //
 // No lock is held during I/O. The locks of the scheduler, the table watches, the table follower and
-// the connection pool are taken before those of the caches, the roster and the retry budgets; the
-// others are taken one at a time.
+// the connection pool are taken before those of the caches, the roster and the retry budgets, that of
+// the balancer before that of the hold-offs; the others are taken one at a time.
 package edge
 
 import (
@@ -82,6 +82,7 @@
 	requestRetries  retries // of requests that this node sends to backend servers
 	crashes         suspect.Counter
 	broken          brokenRequests
+	serverGuard     serverGuard
 	sampler         sampler
 	meter           *meter
 	taskRetries     retries // of tasks that this node schedules as coordinator
@@ -147,12 +148,14 @@
 	n.cache.Now, n.roster.Now = time.Now, time.Now
 	n.sampler.now, n.crashes.Now = time.Now, time.Now
 	n.crashes.OnFound, n.crashes.OnReleased = n.onCulprit, n.onCulpritReleased
+	n.serverGuard = serverGuard{cache: &n.cache, log: n.Log, onHoldOff: n.scheduler.holdOff}
+	n.serverGuard.holdOffs.Now = time.Now
 	n.drain = newDrain()
 	n.meter = newMeter()
 	n.scheduler.meter, n.scheduler.sample = n.meter, n.sampler.sample
 	n.requestRetries = retries{settings: s, slackShare: n.nodeShare}
 	n.taskRetries = retries{settings: s, slackShare: n.coordinatorShare}
-	n.scheduler.pool, n.scheduler.log = &n.pool, n.Log
+	n.scheduler.pool, n.scheduler.log, n.scheduler.guard = &n.pool, n.Log, &n.serverGuard
 	n.scheduler.core = placement.Scheduler{Now: time.Now, View: n.cache.View, Region: s.Region, CountFirst: n.taskRetries.countFirst, TakeRetry: n.takeTaskRetry}
 	n.tableFollower = tableFollower{settings: s, tables: &n.tableCache, cache: &n.cache, roster: &n.roster, log: n.Log, mesh: n.mesh.Load}
 	n.tableFollower.core = fanout.Follower{Self: s.Peer, Now: time.Now}
@@ -225,6 +228,7 @@
 	s := &proxy.Server{
 		Protocol: platform.Protocol(), View: n.cache.View, Region: n.Settings.Region, Domain: n.Settings.Domain,
 		Pool: &n.pool, Schedule: n.schedulerClient.place, Report: n.schedulerClient.report,
+		Guard: n.serverGuard.guard, HoldOff: n.serverGuard.holdOff,
 		CountFirst: n.requestRetries.countFirst, TakeRetry: n.requestRetries.takeRetry,
 		Suspects: &n.crashes, OnBroken: n.onBroken, OnResponse: n.onResponse, OnSuccess: n.onSuccess, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
 		EndPlacements: n.drain.placements, EndRequests: n.drain.requests,
--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"bergamotspring/core/placement"
+	"bergamotspring/core/relay"
 	"bergamotspring/io/exchange"
 	"bergamotspring/io/wait"
 	"bergamotspring/platform"
@@ -39,6 +40,7 @@
 	log    *zap.Logger
 	sample func(id string) bool // reports whether the ordinary lines of a request are logged
 	meter  *meter
+	guard  *serverGuard
 	work   sync.WaitGroup // I/O in progress
 
 	mu         sync.Mutex
@@ -161,6 +163,11 @@
 	})
 }
 
+// holdOff keeps batches and releases from a server that asked for it, if it is one of a stage.
+func (h *scheduler) holdOff(p relay.Process, d time.Duration) {
+	h.do(func(s *placement.Scheduler) { s.HoldOff(p, d) })
+}
+
 // run calls Tick periodically until the context ends.
 func (h *scheduler) run(ctx context.Context) {
 	wait.Every(ctx, tickInterval, func() { h.do((*placement.Scheduler).Tick) })
@@ -190,6 +197,7 @@
 	if err != nil {
 		return placement.BatchBroken, nil, err
 	}
+	q.Guard = h.guard.guard(&c.Server)
 	var l []placement.TaskResult
 	status, _, err := h.pool.Whole(ctx, q, maxStageResponse, func(status int, b []byte) (mark string, err error) {
 		if status == http.StatusOK {
@@ -199,6 +207,8 @@
 	})
 	var u *exchange.UnsentError
 	switch {
+	case errors.Is(err, relay.ErrHeldOff):
+		return placement.BatchRejected, nil, err
 	case errors.As(err, &u) && u.Refused:
 		return placement.BatchRefused, nil, err
 	case u != nil:
@@ -230,6 +240,7 @@
 	q, err := platform.StageRelease(f)
 	status := 0
 	if err == nil {
+		q.Guard = h.guard.messageGuard(&f.Server)
 		status, _, err = h.pool.Whole(ctx, q, maxStageResponse, func(_ int, b []byte) (string, error) {
 			return platform.StageMark(b), platform.StageReleased(b)
 		})
@@ -246,7 +257,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
 	free := int64(0)
-	status, _, err := h.pool.Whole(ctx, platform.StageQuery(l), maxStageResponse, func(status int, b []byte) (mark string, err error) {
+	q := platform.StageQuery(l)
+	q.Guard = h.guard.messageGuard(&l.Server)
+	status, _, err := h.pool.Whole(ctx, q, maxStageResponse, func(status int, b []byte) (mark string, err error) {
 		if status == http.StatusOK {
 			free, err = platform.StageCapacity(b)
 		}
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -42,7 +42,8 @@
 	// Echo names a header that the server repeats in its response; a response with another value
 	// belongs to another request. If empty, this is not checked. The pool sends a value once on a
 	// connection.
-	Echo string
+	Echo  string
+	Guard Guard
 }
 
 // Response is a response whose header was read. Body ends with io.EOF only if it is
@@ -103,6 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.Guard.onHead(a.StatusCode, a.Header)
 	if a.ContentLength == 0 || a.Body == http.NoBody {
 		b.end(nil)
 	}
@@ -112,16 +114,17 @@
 // do sends a request and returns its response and the body, at whose end the connection is
 // returned to the pool or closed.
 func (p *Pool) do(ctx context.Context, r *Request) (*http.Response, *body, error) {
+	if err := r.Guard.admit(ctx); err != nil {
+		return nil, nil, &UnsentError{Cause: err}
+	}
 	c, err := p.get(ctx, r)
 	if err != nil {
 		return nil, nil, &UnsentError{Refused: refused(err), Cause: err}
 	}
 	c.echo = r.Echo
-	// After a pause of the process the deadline may have passed while the context does not tell yet,
-	// as its timer has not run.
-	if d, ok := ctx.Deadline(); ok && !time.Now().Before(d) {
+	if err := r.Guard.admit(ctx); err != nil {
 		p.put(c)
-		return nil, nil, &UnsentError{Cause: context.DeadlineExceeded}
+		return nil, nil, &UnsentError{Cause: err}
 	}
 	c.seen.add(r.id())
 	stop := context.AfterFunc(ctx, c.abort)
@@ -162,6 +165,9 @@
 		var mark string
 		b, mark, err = readWhole(a, limit, identify)
 		if body.conn.isNew(mark) {
+			if err == nil {
+				r.Guard.onHead(a.StatusCode, a.Header)
+			}
 			body.reuse = mark != "" && framed(a) && !a.Close
 			break
 		}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -47,19 +47,15 @@
 
 // call serves a request for a plain service.
 func (q *request) call(ctx context.Context) {
-	s := q.server
 	var tried []string
 	runs := 0
 	for n := 0; ; n++ {
 		if n > 0 && q.refusePoison(nil) {
 			return
 		}
-		v := s.View()
-		t := s.Balancer.Pick(v, q.service, s.Domain, s.Region, time.Now(), func(x *relay.Server) bool {
-			return relay.Allows(q.route, q.org, x.Region)
-		}, tried)
+		t := q.pick(tried)
 		if t == nil {
-			q.fail("no server", retryAfterBusy)
+			q.fail("no server", q.retryAfter())
 			return
 		}
 		tried = append(tried, t.ID)
@@ -72,7 +68,7 @@
 			runs++
 			q.mayHaveRun = true
 		}
-		if !q.shouldRetry(a, t, n, runs) {
+		if !q.shouldRetry(a, tried, runs) || !q.takeRetry(a, t) {
 			q.finish(a, t)
 			return
 		}
@@ -80,20 +76,28 @@
 	}
 }
 
-// shouldRetry decides whether a request is sent to another server.
-func (q *request) shouldRetry(a *attempt, t *relay.Server, n, runs int) bool {
+// pick returns the server that a request is sent to next, nil if there is none.
+func (q *request) pick(tried []string) *relay.Server {
+	s := q.server
+	return s.Balancer.Pick(s.View(), q.service, s.Domain, s.Region, time.Now(), q.allows, tried)
+}
+
+// shouldRetry decides whether a request is worth sending to another server, and allowed to be.
+func (q *request) shouldRetry(a *attempt, tried []string, runs int) bool {
 	good := a.err == nil && !a.notRun && a.response.Status < http.StatusInternalServerError
-	if good || n+1 >= maxServers || q.remaining() < minRetryTime {
+	if good || len(tried) >= maxServers || q.remaining() < minRetryTime {
 		return false
 	}
 	if !a.notRun && (!q.route.Repeatable || runs >= q.route.Attempts) {
 		return false
 	}
+	return q.pick(tried) != nil
+}
+
+// takeRetry takes a retry from the budget, unless no server received the request.
+func (q *request) takeRetry(a *attempt, t *relay.Server) bool {
 	e := (*exchange.UnsentError)(nil)
-	if errors.As(a.err, &e) {
-		return true // no server received it, so it needs no retry budget
-	}
-	return q.retry(t)
+	return errors.As(a.err, &e) || q.retry(t)
 }
 
 // try sends a request to one server and reads its response.
@@ -139,6 +143,7 @@
 	r, err := s.Pool.Do(ctx, &exchange.Request{
 		Address: t.Address, Method: q.method, Target: q.target, Host: q.host, Body: q.body,
 		Header: s.Protocol.Write(q.header, x), Echo: s.Protocol.Echo,
+		Guard: s.Guard(t),
 	})
 	var u *exchange.UnsentError
 	if err != nil {
@@ -194,7 +199,7 @@
 	case a.err != nil:
 		q.fail(a.err.Error(), retryAfterBusy)
 	case a.notRun:
-		q.fail("not run by servers", retryAfterBusy)
+		q.fail("not run by servers", q.retryAfter())
 	default:
 		q.forward(a, t)
 	}
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -34,11 +34,12 @@
 func (q *request) generate(ctx context.Context) {
 	a := q.placementRequest()
 	out := newStream(q)
+	var tried []string
 	runs := 0
 	for n := 0; n < maxPlacements; n++ {
 		a.Attempt, q.attempt = n, n
 		a.Remaining, a.Goal = q.remaining(), q.route.Goal-time.Since(q.arrived)
-		g, err := q.schedule(ctx, a)
+		g, err := q.schedule(ctx, a, tried)
 		if !q.placed(ctx, &g, err) {
 			return
 		}
@@ -61,12 +62,12 @@
 			break
 		}
 		if e != runInputLost {
-			a.Avoid = append(a.Avoid, g.Server.ID)
+			tried = append(tried, g.Server.ID)
 		}
 		a.Retry, a.InputLost = e != runBroken, e == runInputLost
 	}
 	q.server.Report(placement.Report{ID: q.meta.ID, Attempt: q.attempt, Status: placement.RunAbandoned})
-	q.fail("model servers failed", retryAfterBusy)
+	q.fail("model servers failed", q.retryAfter())
 }
 
 // placed reports whether the request is to be sent to the server that it was placed on. If not,
@@ -86,8 +87,15 @@
 	return true
 }
 
-// schedule requests a placement, until EndPlacements ends.
-func (q *request) schedule(ctx context.Context, a placement.Request) (placement.Decision, error) {
+// schedule requests a placement on a server that was not tried, until EndPlacements ends. If all
+// servers hold this node off, it refuses at once.
+func (q *request) schedule(ctx context.Context, a placement.Request, tried []string) (placement.Decision, error) {
+	avoid, left := q.avoid(tried)
+	if !left {
+		q.server.Report(placement.Report{ID: a.ID, Attempt: a.Attempt, Status: placement.RunAbandoned})
+		return placement.Decision{Reason: relay.ErrHeldOff.Error(), RetryAfter: q.retryAfter()}, nil
+	}
+	a.Avoid = avoid
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(q.server.EndPlacements, func() { end(errStopping) })()
@@ -178,7 +186,7 @@
 	case a.err != nil:
 		q.log("send_failed", zap.String("server", g.Server.ID), zap.Bool("not_run", a.notRun), zap.Error(a.err))
 		if a.notRun {
-			q.report(g, placement.RunNotSent)
+			q.report(g, unsentStatus(a.err))
 			return runNotSent
 		}
 		q.report(g, placement.RunConnectionLost)
