--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -44,11 +44,11 @@
 			return
 		}
 		e := q.run(ctx, out, &g, q.route.Resumable && runs+1 < q.route.Attempts)
-		if ctx.Err() != nil {
-			q.contextEnded(ctx)
+		if e == runDone {
 			return
 		}
-		if e == runDone {
+		if ctx.Err() != nil {
+			q.contextEnded(ctx)
 			return
 		}
 		if e == runBroken {
