A node sends nothing to a server that it knows to have left, whatever its coordinator grants

The guard of each send, which keeps requests from servers that state that they are leaving, now asks Cache.Withdrawn: the mark, the entry's state, a domain taken out, or an entry that went in the last minute. The request is placed again, elsewhere, at no cost to the retry budget.

--- a/core/relay/cache.go
+++ b/core/relay/cache.go
@@ -28,6 +28,7 @@
 	expiring      map[string]time.Time // removed entries and when they expire
 	reconnectedAt time.Time            // when the last outage of the store ended
 	leaving       map[string]leavingMark
+	gone          map[string]time.Time // when entries were removed
 	view          *View
 }
 
@@ -99,6 +100,7 @@
 	s.unmark(s.servers[x.ID], x)
 	s.servers[x.ID] = x
 	delete(s.expiring, x.ID)
+	delete(s.gone, x.ID)
 }
 
 // Delete records that an entry was removed from the store.
@@ -141,5 +143,9 @@
 func (s *Cache) remove(id string) {
 	delete(s.servers, id)
 	delete(s.expiring, id)
+	if s.gone == nil {
+		s.gone = map[string]time.Time{}
+	}
+	s.gone[id] = s.now()
 	s.markRemoved(id)
 }
--- a/core/relay/leaving.go
+++ b/core/relay/leaving.go
@@ -9,7 +9,8 @@
 )
 
 // leavingTTL is how long a mark is kept for a process whose entry is not known: its entry
-// may have expired while the store was unreachable, and come back.
+// may have expired while the store was unreachable, and come back. It is also how long a node remembers that
+// an entry is gone, for grants of a coordinator that does not know it.
 const leavingTTL = time.Minute
 
 // ErrLeaving says that a request was not sent because its server is leaving.
@@ -55,12 +56,20 @@
 	return true
 }
 
-// Leaving reports whether a process stated that it is leaving.
-func (s *Cache) Leaving(p Process) bool {
+// Withdrawn reports whether this node knows that a process must get nothing new: it stated that it is
+// leaving, its entry says so or is gone, or its failure domain is taken out. A server that is not known
+// here is not withdrawn; another node may have read its entry first.
+func (s *Cache) Withdrawn(p Process) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m, ok := s.leaving[p.ID]
-	return ok && m.startedAt == p.StartedAt
+	if m, ok := s.leaving[p.ID]; ok && m.startedAt == p.StartedAt {
+		return true
+	}
+	if x := s.servers[p.ID]; x != nil {
+		return x.Leaving || s.takenOut[x.Domain]
+	}
+	at, gone := s.gone[p.ID]
+	return gone && s.now().Sub(at) <= leavingTTL
 }
 
 // Process returns the process of a server as this node knows it. A grant of another node does
@@ -136,4 +145,9 @@
 			delete(s.leaving, id)
 		}
 	}
+	for id, t := range s.gone {
+		if s.now().Sub(t) > leavingTTL {
+			delete(s.gone, id)
+		}
+	}
 }
--- a/core/relay/leaving_test.go
+++ b/core/relay/leaving_test.go
@@ -35,7 +35,7 @@
 		s.Put(&Server{ID: "1", Service: "s", StartedAt: c.start})
 		s.Put(&Server{ID: "2", Service: "s", StartedAt: c.start})
 		p := Process{ID: "1", StartedAt: c.start}
-		if first, again := s.MarkLeaving(p), s.MarkLeaving(p); !first || again || !s.Leaving(p) {
+		if first, again := s.MarkLeaving(p), s.MarkLeaving(p); !first || again || !s.Withdrawn(p) {
 			t.Errorf("%s: got %v %v when marked twice, want true, then false", c.name, first, again)
 		}
 		c.steps(&s)
@@ -54,12 +54,12 @@
 	s.MarkLeaving(p)
 	now = now.Add(leavingTTL)
 	s.View()
-	if !s.Leaving(p) {
+	if !s.Withdrawn(p) {
 		t.Errorf("got no mark after %v", leavingTTL)
 	}
 	now = now.Add(time.Second)
 	s.View()
-	if s.Leaving(p) {
+	if s.Withdrawn(p) {
 		t.Errorf("got a mark after more than %v", leavingTTL)
 	}
 }
--- a/io/edge/leaving_test.go
+++ b/io/edge/leaving_test.go
@@ -56,6 +56,32 @@
 	})
 }
 
+// A coordinator takes the removal of a server's entry for the effect of an outage, as after a freeze, and
+// goes on granting the server: nodes that saw the entry go do not send there.
+func TestGrantOfServerWhoseEntryIsGone(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.stream("b1", "/draft/x", "first")
+		var s *platformstandin.Server // which the next requests with these prompt segments prefer
+		for _, x := range w.servers {
+			if x.Events > 0 && len(x.Runs()) > 0 {
+				s = x
+			}
+		}
+		w.nodes["a1"].node.cache.Reconnected(time.Now())
+		w.store.Remove("servers", s.ID)
+		time.Sleep(time.Second)
+		for i := range 2 {
+			id := fmt.Sprint("g", i)
+			if r := w.stream("b1", "/draft/x", id); r.status != 200 || r.body != fullStream(6) {
+				t.Errorf("request %d: got %d %v %q", i, r.status, r.err, r.body)
+			}
+		}
+		if got := len(s.Runs()); got != 1 {
+			t.Errorf("got %d runs at the server that left, want the one before", got)
+		}
+	})
+}
+
 // A refusal with the header counts too.
 func TestServerLeavingInRefusal(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
--- a/io/edge/serverguard.go
+++ b/io/edge/serverguard.go
@@ -29,7 +29,7 @@
 	p := g.cache.Process(t)
 	return exchange.Guard{
 		Admit: func() error {
-			if g.cache.Leaving(p) {
+			if g.cache.Withdrawn(p) {
 				return relay.ErrLeaving
 			}
 			return g.admit(p)
