io/exchange: the guard sees the response behind a copy of an earlier one

What callers saw: nothing yet. A stage server that wrote its last response once more before a rejection with Retry-After, or before its first response that says leaving, would have got more calls: Whole skips the copy, but the guard saw only the copy's header. Found in review.

Change: readResponse shows each header that it accepts. Test: TestGuardSeesResponse, before: got [200 200], want the 503. TestGuardAdmits tests the checks before and after the connection is opened.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -137,7 +137,6 @@
 		c.close()
 		return nil, nil, &BrokenError{Cause: err}
 	}
-	r.Guard.onHead(a.StatusCode, a.Header)
 	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: !a.Close && reusable(a)}, nil
 }
 
@@ -237,6 +236,7 @@
 			continue
 		}
 		if r.Echo == "" || a.Header.Get(r.Echo) == r.id() {
+			r.Guard.onHead(a.StatusCode, a.Header)
 			return a, nil
 		}
 		c.taint(r, a.StatusCode)
