io/tables: rows and conflicts of keys that a call did not name belong to another call

The client of the table service took any rows for those of its query, and any conflict for that of its transaction; the latter then counted as without effect. A service that sends a response once more, late, so gave a call the rows of another, and a transaction that took effect the conflict of the one before.

Rows outside the query, and conflicts on keys without a condition, are an error of unknown effect, and the idle connections are closed. TestForeignRows and TestForeignConflict failed before and pass. TestCancelledCall shows that a cancelled call leaves its response to no other.

--- a/io/tables/table.go
+++ b/io/tables/table.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
+	"slices"
 	"strings"
 
 	"bergamotspring/core/store"
@@ -71,7 +73,28 @@
 	if err != nil {
 		return 0, err
 	}
-	return transactResponse(a)
+	q, err := transactResponse(a)
+	if k, ok := errors.AsType[*store.ConflictError](err); ok && !conditionsOf(t, k.Keys) {
+		return 0, c.foreign()
+	}
+	return q, err
+}
+
+// conditionsOf reports whether a transaction has conditions on all keys.
+func conditionsOf(t store.Tx, keys []string) bool {
+	return !slices.ContainsFunc(keys, func(k string) bool {
+		return !slices.ContainsFunc(t.Conditions, func(c store.Condition) bool { return c.Key == k })
+	})
+}
+
+// errForeign reports a response that names keys for which it was not asked.
+var errForeign = errors.New("platform: response to another request")
+
+// foreign closes the idle connections, since the response that was asked for may still come on one, and
+// returns errForeign.
+func (c *Client) foreign() error {
+	c.client().CloseIdleConnections()
+	return errForeign
 }
 
 func transactResponse(a response) (uint64, error) {
@@ -114,9 +137,17 @@
 	if err := json.Unmarshal(a.body, &s); err != nil {
 		return store.Result{}, err
 	}
+	if slices.ContainsFunc(s.Rows, func(r row) bool { return !asksFor(q, r.Key) }) {
+		return store.Result{}, c.foreign()
+	}
 	return resultOf(s), nil
 }
 
+// asksFor reports whether a query selects a key.
+func asksFor(q store.Query, key string) bool {
+	return slices.Contains(q.Keys, key) || slices.ContainsFunc(q.Prefixes, func(p string) bool { return strings.HasPrefix(key, p) })
+}
+
 func transactionOf(t store.Tx) transaction {
 	x := transaction{Conditions: make([]condition, len(t.Conditions)), Writes: make([]write, len(t.Writes))}
 	for i, c := range t.Conditions {
