--- a/io/backend/completion.go
+++ b/io/backend/completion.go
@@ -165,7 +165,10 @@
 	last     bool
 }
 
-var errIndex = errors.New("index is not a whole number")
+var (
+	errIndex      = errors.New("index is not a whole number")
+	errNotResumed = errors.New("stream does not begin at resume_from")
+)
 
 // decode parses {id,index,choices:[{text,finish_reason}]}.
 func (s *stream) decode(b []byte) (c chunk, err error) {
@@ -226,6 +229,9 @@
 		s.exchange.client.errorCounts[Crossed].Add(1)
 		return nil
 	}
+	if s.times.First == 0 && c.index < s.assembler.Next {
+		return s.exchange.newError(Malformed, errNotResumed)
+	}
 	switch s.assembler.Accept(c.index, c.last) {
 	case stage.Duplicate:
 		return nil
--- a/io/edge/cutstreams_test.go
+++ b/io/edge/cutstreams_test.go
@@ -43,10 +43,14 @@
 
 // framings returns a response to a run that ends with its connection, one with a length and one in chunks.
 func framings(x platformstandin.Run, status, body string, lines ...string) map[string]string {
+	chunk := ""
+	if body != "" {
+		chunk = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	}
 	return map[string]string{
 		"neither": head(x, status, lines...) + body,
 		"length":  head(x, status, append(lines, fmt.Sprint("Content-Length: ", len(body)))...) + body,
-		"chunks":  head(x, status, append(lines, "Transfer-Encoding: chunked")...) + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"chunks":  head(x, status, append(lines, "Transfer-Encoding: chunked")...) + chunk + "0\r\n\r\n",
 	}
 }
 
