--- a/io/caller/fault_test.go
+++ b/io/caller/fault_test.go
@@ -388,3 +388,32 @@
 		t.Errorf("p50 after two minutes = %v, want the declared time", got.P50)
 	}
 }
+
+// The next server of a stream that broke off answers with an error: its text does not reach the caller, whose stream
+// goes on at another server, or ends with an error event if there is none.
+func TestErrorAfterBrokenStream(t *testing.T) {
+	for _, errorResponses := range []int{1, 2, maxStreams} {
+		withFixture(func(t *testing.T, w *fixture) {
+			calls := 0
+			f := func(standin.Completion) standin.Fault {
+				calls++
+				switch {
+				case calls == 1:
+					return standin.Fault{Kind: standin.Truncated, At: 7}
+				case calls <= 1+errorResponses:
+					return standin.Fault{Kind: standin.ErrorResponse}
+				}
+				return standin.Fault{}
+			}
+			w.engines[0].Fault, w.engines[1].Fault = f, f
+			tokens, last := 20, "done"
+			if errorResponses == maxStreams {
+				tokens, last = 7, "error"
+			}
+			got := w.sse("pipelines/say", `"why"`)
+			if got.text != standin.Text("why", tokens) || got.last != last || got.err != nil {
+				t.Errorf("%d error responses: stream = %+v, want %d tokens and %s", errorResponses, got, tokens, last)
+			}
+		})(t)
+	}
+}
