Tests of responses between the check of a connection and the send

TestResponsesBeforeTheDueOne puts one to four responses there: refusals, in chunks, without a body, without the id, a 408 that closes the connection, one without a length, 103 before a copy, and bytes that are none. None is taken for the response that is due; up to three are skipped, else the exchange is broken off.

--- a/io/exchange/joined_test.go
+++ b/io/exchange/joined_test.go
@@ -30,3 +30,40 @@
 		}
 	}
 }
+
+// Responses arrive between the check of an idle connection and the request that is sent on it. One that does not name
+// the request is not its response, whatever it promises; after too many, or one that closes the connection, the
+// exchange is broken off.
+func TestResponsesBeforeTheDueOne(t *testing.T) {
+	const (
+		due     = "HTTP/1.1 200 OK\r\nId: due\r\nContent-Length: 3\r\n\r\ndue"
+		refusal = "HTTP/1.1 503 Service Unavailable\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
+		chunks  = "HTTP/1.1 200 OK\r\nId: old\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n"
+		empty   = "HTTP/1.1 204 No Content\r\nId: old\r\n\r\n"
+		noID    = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		timeout = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+		endless = "HTTP/1.1 503 Service Unavailable\r\nId: old\r\n\r\nold"
+	)
+	for _, c := range []struct {
+		before string
+		served bool
+	}{
+		{"", true}, {refusal, true}, {chunks, true}, {empty, true}, {noID, true}, {refusal + chunks + empty, true},
+		{"HTTP/1.1 103 Early Hints\r\nId: due\r\n\r\n" + refusal, true}, {"HTTP/1.1 304 Not Modified\r\nId: old\r\nContent-Length: 3\r\n\r\n", true},
+		{strings.Repeat(refusal, 4), false}, {timeout, false}, {endless, false}, {"old" + refusal, false}, {"\r\n\r\n", false},
+		{"HTTP/1.1 421 Misdirected Request\r\nId: old\r\nId: due\r\nContent-Length: 0\r\n\r\n", true},
+	} {
+		run(t, func(s *script) {
+			s.requests = nil
+			s.responses <- okResponse("before", "x")
+			if _, _, err := s.do(context.Background(), "before"); err != nil {
+				t.Errorf("the request before: %v", err)
+			}
+			s.responses <- c.before + due + cut
+			status, b, err := s.do(context.Background(), "due")
+			if _, broken := errors.AsType[*BrokenError](err); broken == c.served || c.served && (status != 200 || b != "due") || s.conns != 1 {
+				t.Errorf("%q: got %d %q %v on %d connections, want served: %v", c.before, status, b, err, s.conns, c.served)
+			}
+		})
+	}
+}
