io/exchange: a connection is not used again after HEAD

A copy of a response to HEAD has the length of a body that does not follow. Nothing tells such a copy from a response with a body, so the connection is closed.

TestCopiedResponseToHead, with the copy sent before the response that is due, failed before with 'malformed HTTP version "P/1.1"'; as it stands, it checks that the next request opens another connection, and failed before, too.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -139,7 +139,9 @@
 		c.close()
 		return nil, nil, &BrokenError{Cause: err}
 	}
-	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: !a.Close && framed(a)}, nil
+	// A copy of a response to HEAD would take the length of its missing body from the response that follows.
+	reuse := !a.Close && framed(a) && r.Method != http.MethodHead
+	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: reuse}, nil
 }
 
 // Identify decides whether a response belongs to a request whose server repeats no header that
--- a/io/exchange/joined_test.go
+++ b/io/exchange/joined_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -67,3 +68,23 @@
 		})
 	}
 }
+
+// A copy of a response to HEAD has the length of a body that does not follow: no other request is sent where it may
+// come.
+func TestCopiedResponseToHead(t *testing.T) {
+	run(t, func(s *script) {
+		s.requests = nil
+		const old = "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\n"
+		s.responses <- old
+		r, err := s.pool.Do(context.Background(), &Request{
+			Address: address, Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{"Id": {"old"}}, Echo: "Id",
+		})
+		if err != nil || r.Body.Close() != nil {
+			t.Errorf("HEAD: %v", err)
+		}
+		s.responses <- okResponse("due", "x")
+		if _, b, err := s.do(context.Background(), "due"); b != "x" || err != nil || s.conns != 2 {
+			t.Errorf("got %q %v on %d connections, want the response on a second one", b, err, s.conns)
+		}
+	})
+}
