Tests of hold-offs and leaving servers share what stood twice

A server that rejects once, the server that was used, and streams sent together; the checks are the same. With the observation of response headers taken out all of them fail as before.

--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -17,6 +17,50 @@
 	s.SharedFault = func() platformstandin.Fault { return platformstandin.FaultReject }
 }
 
+// rejectOnce makes a server reject its next request with a Retry-After. It returns a function that
+// returns when it did, the zero time if it has not.
+func rejectOnce(s *platformstandin.Server, retryAfter string) func() time.Time {
+	var mu sync.Mutex
+	var at time.Time
+	s.RetryAfter = retryAfter
+	s.SharedFault = func() (f platformstandin.Fault) {
+		mu.Lock()
+		defer mu.Unlock()
+		if at.IsZero() {
+			f, at = platformstandin.FaultReject, time.Now()
+		}
+		return f
+	}
+	return func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return at
+	}
+}
+
+// used returns the server of failure domain a or b that has served a request.
+func (w *testFleet) used(kind string) *platformstandin.Server {
+	s := w.servers[kind+"-a"]
+	if len(s.Runs())+len(s.BatchSizes()) == 0 {
+		s = w.servers[kind+"-b"]
+	}
+	return s
+}
+
+// streamTogether requests n streams of a node, 50 ms apart, each of which must be whole.
+func (w *testFleet) streamTogether(t *testing.T, node string, n int) {
+	var g sync.WaitGroup
+	for i := range n {
+		g.Go(func() {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			if r := w.stream(node, "/draft/x", fmt.Sprint("together", i)); r.status != 200 || r.body != fullStream(6) {
+				t.Errorf("got %d %q, want the whole stream", r.status, r.body)
+			}
+		})
+	}
+	g.Wait()
+}
+
 // arrivedSince counts the requests that reached a server after a time.
 func arrivedSince(s *platformstandin.Server, t time.Time) int {
 	n := 0
@@ -102,27 +146,10 @@
 func TestModelServerHoldOff(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		w.stream("a2", "/draft/x", "0")
-		s := w.servers["model-a"]
-		if len(s.Runs()) == 0 {
-			s = w.servers["model-b"]
-		}
-		var once sync.Once
-		var rejected time.Time
-		s.RetryAfter = "3"
-		s.SharedFault = func() (f platformstandin.Fault) {
-			once.Do(func() { f, rejected = platformstandin.FaultReject, time.Now() })
-			return f
-		}
-		var g sync.WaitGroup
-		for i := range 6 { // of the later ones some are placed after the first response
-			g.Go(func() {
-				time.Sleep(time.Duration(i) * 50 * time.Millisecond)
-				if r := w.stream("a2", "/draft/x", fmt.Sprint("together", i)); r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("got %d %q, want the whole stream", r.status, r.body)
-				}
-			})
-		}
-		g.Wait()
+		s := w.used("model")
+		rejectedAt := rejectOnce(s, "3")
+		w.streamTogether(t, "a2", 6) // of the later ones some are placed after the first response
+		rejected := rejectedAt()
 		if got := len(w.log.matching(`"send_failed"`, s.ID, "asked for a pause")); got == 0 {
 			t.Errorf("got no placement at %s after its response", s.ID)
 		}
@@ -150,22 +177,14 @@
 func TestStageServerHoldOff(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		w.stream("a1", "/draft/x", "0")
-		s := w.servers["encode-a"]
-		if len(s.BatchSizes()) == 0 {
-			s = w.servers["encode-b"]
-		}
-		var once sync.Once
-		var rejected time.Time
-		s.RetryAfter = "3"
-		s.SharedFault = func() (f platformstandin.Fault) {
-			once.Do(func() { f, rejected = platformstandin.FaultReject, time.Now() })
-			return f
-		}
+		s := w.used("encode")
+		rejectedAt := rejectOnce(s, "3")
 		for i := range 3 {
 			if r := w.stream("a1", "/draft/x", fmt.Sprint("held", i)); r.status != 200 {
 				t.Errorf("got %d, want 200", r.status)
 			}
 		}
+		rejected := rejectedAt()
 		if rejected.IsZero() || time.Since(rejected) > 2900*time.Millisecond || arrivedSince(s, rejected) != 0 {
 			t.Errorf("got %d requests at %s %v after its response, want 0", arrivedSince(s, rejected), s.ID, time.Since(rejected))
 		}
--- a/io/edge/leaving_test.go
+++ b/io/edge/leaving_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -105,22 +104,10 @@
 func TestModelServerLeavingInResponse(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		w.stream("a2", "/draft/x", "0")
-		s := w.servers["model-a"]
-		if len(s.Runs()) == 0 {
-			s = w.servers["model-b"]
-		}
+		s := w.used("model")
 		runs := len(s.Runs())
 		s.Leaving = leaving
-		var g sync.WaitGroup
-		for i := range 4 { // of the later ones some are placed after the first response
-			g.Go(func() {
-				time.Sleep(time.Duration(i) * 50 * time.Millisecond)
-				if r := w.stream("a2", "/draft/x", fmt.Sprint("together", i)); r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("got %d %q, want the whole stream", r.status, r.body)
-				}
-			})
-		}
-		g.Wait()
+		w.streamTogether(t, "a2", 4) // of the later ones some are placed after the first response
 		if got := len(w.log.matching(`"send_failed"`, s.ID, "server is leaving")); got == 0 {
 			t.Errorf("got no placement at %s after its response", s.ID)
 		}
@@ -150,10 +137,7 @@
 func TestStageServerLeavingInResponse(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		w.stream("a1", "/draft/x", "0")
-		s := w.servers["encode-a"]
-		if len(s.BatchSizes()) == 0 {
-			s = w.servers["encode-b"]
-		}
+		s := w.used("encode")
 		before := len(s.BatchSizes())
 		s.Leaving = leaving
 		for i := range 8 {
