A response over HTTP/1.0 that is not whole ends with a reset

Callers of HTTP/1.0 get streams, and plain responses over 1 MB without a length, with neither a length nor chunks: the end of the connection is that of the response. When a server broke off after the head, the handler's panic closed the connection as after a whole response, so the caller saw a 200 that ends early and looks complete; the same at the end of the grace period and when the process ends.

The connection of such a response is set to reset at its close (SetLinger(0)) before its head is written, and set back once all of it was written. HTTP/1.1 is as before. The stand-in's connections know SetLinger.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -235,7 +235,7 @@
 	}
 	return &http.Server{
 		Addr: n.Settings.Callers, Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(n.Log),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(n.Log), ConnContext: proxy.ConnContext,
 	}
 }
 
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -215,11 +215,15 @@
 		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	q.headerSent = true
+	q.ending.begin(h)
 	q.out.WriteHeader(a.response.Status)
 	_, err := q.out.Write(a.body)
 	if err == nil && a.hasMore {
 		_, err = io.Copy(q.out, a.response.Body)
 	}
+	if err == nil {
+		err = q.ending.complete(q.out)
+	}
 	if err != nil {
 		q.fail(err.Error(), 0)
 	}
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -59,7 +59,7 @@
 	ResponseHeader func(from http.Header) http.Header
 }
 
-// Server serves callers' requests. All fields but Balancer must be set.
+// Server serves callers' requests. All fields but Balancer must be set. Its http.Server needs ConnContext.
 type Server struct {
 	Protocol *Protocol
 	View     func() *relay.View
@@ -117,6 +117,7 @@
 	arrived  time.Time
 	deadline time.Time // when the response is due
 	out      http.ResponseWriter
+	ending   ending
 
 	attempt    int    // placement requests before the current one
 	sends      int    // sends that a server may have read
@@ -128,7 +129,7 @@
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{server: s, arrived: time.Now(), out: w, method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header}
+	q := &request{server: s, arrived: time.Now(), out: w, method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, ending: endingOf(r)}
 	if s.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -112,7 +112,12 @@
 		return errNoEvent
 	}
 	if len(s.buffer) > 0 || !s.request.headerSent {
-		return s.write(r, s.buffer)
+		if err := s.write(r, s.buffer); err != nil {
+			return err
+		}
+	}
+	if err := s.request.ending.complete(s.request.out); err != nil {
+		return &callerError{Cause: err}
 	}
 	return nil
 }
@@ -126,6 +131,7 @@
 			h[k] = l
 		}
 		q.headerSent = true
+		q.ending.begin(h)
 		s.firstEvent = time.Now()
 		q.out.WriteHeader(r.Status)
 	}
--- a/io/standin/conn.go
+++ b/io/standin/conn.go
@@ -146,6 +146,7 @@
 
 	mu            sync.Mutex
 	closed        bool
+	resetsAtClose bool
 	readDeadline  time.Time
 	writeDeadline time.Time
 }
@@ -219,10 +220,18 @@
 	return c.writeDeadline, c.closed
 }
 
-// Close closes both directions; the peer can still read what was written before.
+// SetLinger is that of net.TCPConn: with 0 seconds, Close resets the connection.
+func (c *Conn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resetsAtClose = seconds == 0
+	return nil
+}
+
+// Close closes both directions; the peer can still read what was written before, unless it gets a reset.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	wasClosed := c.closed
+	wasClosed, reset := c.closed, c.resetsAtClose
 	c.closed = true
 	c.mu.Unlock()
 	if wasClosed {
@@ -231,6 +240,9 @@
 	c.network.mu.Lock()
 	delete(c.network.conns, c)
 	c.network.mu.Unlock()
+	if reset {
+		c.out.fail(errReset, time.Time{})
+	}
 	c.out.closeWithError(io.EOF)
 	c.in.closeWithError(io.EOF)
 	return nil
