A request keeps its id, whatever its Connection header names

A caller may name any header of its request in Connection, also that of the request id. It was then removed like a header of the connection, so the request reached its server without an id, and any response without one was taken for its own - also the late copy of the response to another such request, on a connection that was kept.

TestRequestIDInConnectionHeader failed before: got 200 "answer of plain-b to ", want "answer of plain-b to c0", and the same for the second request, c1.

--- a/io/edge/repeated_test.go
+++ b/io/edge/repeated_test.go
@@ -95,3 +95,19 @@
 		}
 	})
 }
+
+// A caller declares its request's id a header of its connection only: the id reaches the server all the same, and a
+// copy of the response to the request before it is not taken for its own.
+func TestRequestIDInConnectionHeader(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.onlyServer("plain", "b")
+		w.repeater.On.Store(true)
+		for i, path := range []string{"/read/1", "/read/2"} {
+			id := fmt.Sprint("c", i)
+			r := w.request("a1", http.MethodGet, path, id, "Connection", "X-Bergamotspring-Request-Id")
+			if want := "answer of plain-b to " + id; r.status != 200 || r.body != want || w.runCount(id) != 1 {
+				t.Errorf("%s: got %d %v %q, want %q", path, r.status, r.err, r.body, want)
+			}
+		}
+	})
+}
