io/exchange: a response that names two requests is not taken for the one of either

Only the first of several id fields was compared. A response with the ids of this request and of another one, as two heads that went over into each other leave it, was taken for this request's own. So was one without any id if the request had none.

All id fields of a response must name the request, and there must be one.

TestTwoIDs failed before: "Id: 1\r\nId: old": got "no" <nil>, want "yes" (the response after it). An id sent twice, in a folded line or under a name in other case counted and counts as the request's.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -215,6 +216,12 @@
 	return r.Header.Get(r.Echo)
 }
 
+// isNamed reports whether the header of a response names r, and no other request beside it.
+func (r *Request) isNamed(h http.Header) bool {
+	l, id := h.Values(r.Echo), r.id()
+	return len(l) > 0 && !slices.ContainsFunc(l, func(x string) bool { return x != id })
+}
+
 // bytes returns the encoded request, so that it is sent in one write.
 func (r *Request) bytes() []byte {
 	var b bytes.Buffer
@@ -240,7 +247,7 @@
 		if a.StatusCode >= 100 && a.StatusCode < 200 {
 			continue
 		}
-		if r.Echo == "" || a.Header.Get(r.Echo) == r.id() {
+		if r.Echo == "" || r.isNamed(a.Header) {
 			return a, nil
 		}
 		c.onForeign(r, a.StatusCode)
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -138,6 +138,22 @@
 	})
 }
 
+// A response that names another request beside this one proves nothing; one that names this one twice does.
+func TestTwoIDs(t *testing.T) {
+	for _, c := range []struct {
+		lines string
+		own   bool
+	}{{"Id: 1\r\nId: old", false}, {"Id: old\r\nid: 1", false}, {"Id: 1\r\nID: 1", true}, {"id:\r\n 1", true}, {"Id: 1, old", false}} {
+		run(t, func(s *script) {
+			s.responses <- "HTTP/1.1 200 OK\r\n" + c.lines + "\r\nContent-Length: 2\r\n\r\nno" + okResponse("1", "yes") + cut
+			_, b, err := s.do(context.Background(), "1")
+			if want := map[bool]string{true: "no", false: "yes"}[c.own]; b != want || err != nil {
+				t.Errorf("%q: got %q %v, want %q", c.lines, b, err, want)
+			}
+		})
+	}
+}
+
 // The same request is sent again after a refusal: on another connection, where a late copy of the
 // refusal is not taken for its response.
 func TestRepeatedRefusal(t *testing.T) {
