io/exchange: a status below 100 is no response

net/http reads such a status, and panics when it is to be written: the caller's connection closed without an answer, also for a request that may be repeated, and the log got a stack in place of the request's end.

The exchange counts as broken off.

TestStatusBelow100 failed before: 099 Odd: got 0 EOF; 000 None: got 0 EOF. Now another server answers with 200.

--- a/io/edge/nobody_test.go
+++ b/io/edge/nobody_test.go
@@ -29,3 +29,15 @@
 		})
 	}
 }
+
+// A status that HTTP does not have is no response: the request goes to another server.
+func TestStatusBelow100(t *testing.T) {
+	for _, status := range []string{"099 Odd", "000 None"} {
+		runFleet(t, func(w *testFleet) {
+			w.raw("plain", func(x platformstandin.Run) string { return head(x, status, "Content-Length: 0") })
+			if r := w.request("a1", http.MethodGet, "/read/x", "x"); r.status != http.StatusOK || r.err != nil {
+				t.Errorf("%s: got %d %v", status, r.status, r.err)
+			}
+		})
+	}
+}
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -93,6 +93,7 @@
 var (
 	errForeignResponse = errors.New("answer belongs to another request")
 	errTooLarge        = errors.New("response too large")
+	errStatus          = errors.New("status below 100")
 	errJoinedHeads     = errors.New("response goes over into another one")
 )
 
@@ -269,6 +270,9 @@
 	if err == nil && holdsStatusLine(a) {
 		return nil, errJoinedHeads
 	}
+	if err == nil && a.StatusCode < http.StatusContinue {
+		return nil, errStatus
+	}
 	return a, err
 }
 
