A server that crashes inside a response that is no event stream counts as crashed

What callers would see: on a route of a model service whose responses are whole (route kind safe), requests with a deadly segment go on crashing server after server; sound requests beside them fail.

Cause: forwardWhole told the coordinator that the server broke the response off, but not onBroken, so that no crash was counted. Streams, and responses without a header, were reported.

Change: it is reported as from a stream, unless the caller left.

The servers of this test now crash 5 ms after the header of the response, as their FatalSegment says: their reset dropped it before.

--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -22,6 +22,7 @@
 		ip, _, _ := net.SplitHostPort(s.Address)
 		s.FatalSegment = id
 		s.Crash = func() {
+			time.Sleep(5 * time.Millisecond) // the header arrives
 			crashes <- time.Now()
 			w.net.SetHost(ip, standin.HostRefuses)
 			time.AfterFunc(3*time.Second, func() { w.net.SetHost(ip, standin.HostUp) })
@@ -41,13 +42,28 @@
 // segments are served at their first attempt.
 func TestCrashingPromptSegment(t *testing.T) {
 	for _, other := range []string{"aa:800", "aa:800,0e:300"} {
-		t.Run(other, func(t *testing.T) { runFleet(t, func(w *testFleet) { w.testCrashingSegment(t, other) }) })
+		t.Run(other, func(t *testing.T) { runFleet(t, func(w *testFleet) { w.testCrashingSegment(t, "/draft/x", other) }) })
 	}
 }
 
-// testCrashingSegment sends a request with segment dead each second, after other segments, which
-// sound requests also have.
-func (w *testFleet) testCrashingSegment(t *testing.T, other string) {
+// The same with responses that are no event streams.
+func TestCrashingPromptSegmentOfWholeResponses(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.configure(2, func(c map[string]any) {
+			for _, r := range c["route-table"].([]any) {
+				if m := r.(map[string]any); m["name"] == "draft" {
+					m["route-kind"], m["resumable"] = "safe", false
+				}
+			}
+		})
+		time.Sleep(2 * time.Second)
+		w.testCrashingSegment(t, "/draft/x", "aa:800")
+	})
+}
+
+// testCrashingSegment sends a request with segment dead to a path each second, after other segments,
+// which sound requests also have.
+func (w *testFleet) testCrashingSegment(t *testing.T, path, other string) {
 	crashes := w.crashOnSegment("dead")
 	nodes := []string{"a1", "b1", "c1", "a2"}
 	prefix := func(id, l string) []string {
@@ -63,8 +79,8 @@
 			known = 2 * contactTime // fewer crashes than five: they were soon traced
 		}
 		bad, good := fmt.Sprint("d", i), fmt.Sprint("e", i)
-		w.serving.Go(func() { w.stream(node, "/draft/x", bad, prefix(bad, other+",dead:100")...) })
-		r := w.stream(nodes[(i+1)%len(nodes)], "/draft/x", good, prefix(good, other)...)
+		w.serving.Go(func() { w.stream(node, path, bad, prefix(bad, other+",dead:100")...) })
+		r := w.stream(nodes[(i+1)%len(nodes)], path, good, prefix(good, other)...)
 		time.Sleep(time.Second)
 		if known > contactTime {
 			sent++
@@ -83,7 +99,7 @@
 	if served < sound || sound < 5 {
 		t.Errorf("%d of %d sound requests were served at their first attempt", served, sound)
 	}
-	if r := w.stream("b1", "/draft/x", "last", prefix("last", other+",dead:100")...); r.status != 503 || r.header.Get("Retry-After") == "" || r.took > 10*time.Millisecond || !strings.Contains(r.body, "not run") {
+	if r := w.stream("b1", path, "last", prefix("last", other+",dead:100")...); r.status != 503 || r.header.Get("Retry-After") == "" || r.took > 10*time.Millisecond || !strings.Contains(r.body, "not run") {
 		t.Errorf("got %d %q after %v, want a refusal at once", r.status, r.body, r.took)
 	}
 }
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -204,14 +204,14 @@
 		}
 		return runRejected
 	case a.response.Status != http.StatusOK || !q.route.Streamed || !isEventStream(a.response.Header):
-		return q.forwardWhole(a, g)
+		return q.forwardWhole(caller, a, g)
 	}
 	return q.forwardStream(caller, out, a, g)
 }
 
 // forwardWhole forwards a response that is not an event stream. If events of an earlier
 // server were forwarded, the response cannot follow them and counts as broken.
-func (q *request) forwardWhole(a *attempt, g *placement.Decision) runOutcome {
+func (q *request) forwardWhole(ctx context.Context, a *attempt, g *placement.Decision) runOutcome {
 	if q.headerSent {
 		q.report(g, placement.RunConnectionLost)
 		return runBroken
@@ -219,6 +219,9 @@
 	a.read()
 	if a.err != nil {
 		q.report(g, placement.RunConnectionLost)
+		if ctx.Err() == nil {
+			q.reportBroken(a, &g.Server)
+		}
 		return runBroken
 	}
 	q.report(g, placement.RunDone)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -81,8 +81,8 @@
 	TakeRetry  func(service string) (remaining int, ok bool)
 	// Suspects knows which requests must not run because they crash servers. OnBroken is
 	// called when a server that may have read a request did not respond, also after a
-	// timeout, or broke off an event stream or the buffered part of a response for a plain
-	// service, and without segments if several events had come; OnResponse when several
+	// timeout, or broke off an event stream or the buffered part of another response, and
+	// without segments if several events had come; OnResponse when several
 	// events came, OnSuccess when a request completed.
 	Suspects              *suspect.Counter
 	OnBroken              func(r suspect.Request, t *relay.Server)
