--- a/io/edge/repeated_test.go
+++ b/io/edge/repeated_test.go
@@ -11,24 +11,22 @@
 	platformstandin "bergamotspring/platform/standin"
 )
 
-// onlyServer removes the other servers of a service, and lets all nodes use it once.
-func (w *testFleet) onlyServer(service, domain string) *platformstandin.Server {
-	for _, d := range []string{"a", "b", "c"} {
-		if d != domain {
-			w.store.Remove("servers", service+"-"+d)
-		}
-	}
+// onlyServer removes the servers of a service but that of failure domain b, which it lets all nodes
+// use once.
+func (w *testFleet) onlyServer(service string) *platformstandin.Server {
+	w.store.Remove("servers", service+"-a")
+	w.store.Remove("servers", service+"-c")
 	time.Sleep(time.Second)
 	w.stream("a1", "/draft/x", "first")
 	time.Sleep(time.Second)
-	return w.servers[service+"-"+domain]
+	return w.servers[service+"-b"]
 }
 
 // A stage server sends its refusal of a batch once more, in place of the response to the next batch,
 // whose own response is then due on the connection: no request gets the results of another one.
 func TestRepeatedRefusalOfBatch(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		s := w.onlyServer("encode", "b")
+		s := w.onlyServer("encode")
 		w.repeater.On.Store(true)
 		s.QueueFaults(platformstandin.FaultReject)
 		ctx, cancel := context.WithTimeout(context.Background(), 110*time.Millisecond) // in the second batch
@@ -47,7 +45,7 @@
 // batch before on the next connection: no request gets the results of another one.
 func TestCopyOfResponseOnAnotherConnection(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		s := w.onlyServer("rank", "b")
+		s := w.onlyServer("rank")
 		for _, d := range []string{"a", "b", "c"} {
 			w.servers["model-"+d].ServiceTime = 500 * time.Millisecond // the results are still in use
 		}
@@ -87,7 +85,7 @@
 // which it runs then, does not count as not run.
 func TestRepeatedRefusalOfRequest(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		s := w.onlyServer("model", "b")
+		s := w.onlyServer("model")
 		w.repeater.On.Store(true)
 		s.QueueFaults(platformstandin.FaultInputLost)
 		if r := w.stream("a1", "/once/x", "again"); r.status != 200 || r.body != fullStream(6) || w.runCount("again") != 1 {
@@ -100,7 +98,7 @@
 // copy of the response to the request before it is not taken for its own.
 func TestRequestIDInConnectionHeader(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		w.onlyServer("plain", "b")
+		w.onlyServer("plain")
 		w.repeater.On.Store(true)
 		for i, path := range []string{"/read/1", "/read/2"} {
 			id := fmt.Sprint("c", i)
