io/exchange: a copy before the response to HEAD is read with its body

A response that came before the due one was read as if it answered the HEAD request that waited, so without its body. The body was then read as the next response: mostly no response at all, so that the caller got 502 though its server had answered, but one that reads like a response with the request's id was taken for the answer.

Responses are read with their bodies, and that to HEAD itself loses it once it is identified.

TestCopyBeforeResponseToHead failed before: got status 404 and length 2, which are in the copy's body, want 200 and length 3.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -239,9 +239,8 @@
 
 // readResponse reads the header of the response to r and skips responses to other requests.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
-	q := &http.Request{Method: r.Method}
 	for range maxSkipped + 1 {
-		a, err := c.readHead(q)
+		a, err := c.readHead()
 		if err != nil {
 			return nil, err
 		}
@@ -249,6 +248,9 @@
 			continue
 		}
 		if r.Echo == "" || r.isNamed(a.Header) {
+			if r.Method == http.MethodHead {
+				a.Body = http.NoBody
+			}
 			return a, nil
 		}
 		c.onForeign(r, a.StatusCode)
@@ -262,11 +264,12 @@
 	return nil, errForeignResponse
 }
 
-// readHead reads one response up to its body.
-func (c *conn) readHead(q *http.Request) (*http.Response, error) {
+// readHead reads one response up to its body. It counts on a body also if the request that waits is a HEAD, as
+// a response before the due one may have one.
+func (c *conn) readHead() (*http.Response, error) {
 	c.limit.remaining = maxHead
 	defer func() { c.limit.remaining = unlimited }()
-	a, err := http.ReadResponse(c.in, q)
+	a, err := http.ReadResponse(c.in, nil)
 	if err == nil && holdsStatusLine(a) {
 		return nil, errJoinedHeads
 	}
--- a/io/exchange/joined_test.go
+++ b/io/exchange/joined_test.go
@@ -88,3 +88,23 @@
 		}
 	})
 }
+
+// A copy of an earlier response comes before the response to HEAD: its body, here one that reads like a response, is
+// not taken for it.
+func TestCopyBeforeResponseToHead(t *testing.T) {
+	run(t, func(s *script) {
+		s.requests = nil
+		const old = "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 49\r\n\r\nHTTP/1.1 404 Gone\r\nId: due\r\nContent-Length: 2\r\n\r\n"
+		s.responses <- old
+		if _, _, err := s.do(context.Background(), "old"); err != nil {
+			t.Error(err)
+		}
+		s.responses <- old + "HTTP/1.1 200 OK\r\nId: due\r\nContent-Length: 3\r\n\r\n"
+		r, err := s.pool.Do(context.Background(), &Request{
+			Address: address, Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{"Id": {"due"}}, Echo: "Id",
+		})
+		if err != nil || r.Status != 200 || r.Length != 3 || r.Body.Close() != nil || s.conns != 1 {
+			t.Errorf("got %+v %v on %d connections, want the response after the copy", r, err, s.conns)
+		}
+	})
+}
