io/exchange: a response that comes before the end of a long request's body is read at once

A server may respond before it has read a long body, and read on later. The response was read only after the whole request had been written, so it came when the server had read on; if it did not within the time limit, the caller was told 502 or 504 though the whole response lay in the connection.

A request over 64 KiB, more than which a server's side may not take unread, is written while its response is read. The connection is used again only if all of it was written when the response ended: no other request's bytes take the place of the rest. A failure still counts as unsent only if no byte was written.

TestResponseBeforeEndOfBody failed before: request 0, pause 1s: got <nil> after 1s, and with a server that never reads on the exchange ends at its time limit.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -130,24 +130,16 @@
 	}
 	c.seen.add(r.id())
 	stop := context.AfterFunc(ctx, c.abort)
-	n, err := c.Write(r.bytes())
+	w := c.startWrite(r.bytes())
+	a, err := w.readResponse(c, r)
 	if err != nil {
 		stop()
 		c.close()
-		if n == 0 {
-			return nil, nil, &UnsentError{Cause: err}
-		}
-		return nil, nil, &BrokenError{Cause: err}
-	}
-	a, err := c.readResponse(r)
-	if err != nil {
-		stop()
-		c.close()
-		return nil, nil, &BrokenError{Cause: err}
+		return nil, nil, w.failure(err)
 	}
 	// A copy of a response to HEAD would take the length of its missing body from the response that follows.
 	reuse := r.Echo != "" && !a.Close && framed(a) && r.Method != http.MethodHead
-	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: reuse}, nil
+	return a, &body{ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse}, nil
 }
 
 // Identify decides whether a response belongs to a request whose server echoes no id. It returns a mark
@@ -313,10 +305,11 @@
 // body is a response body that returns the connection to the pool at its end.
 type body struct {
 	io.ReadCloser
-	conn  *conn
-	stop  func() bool
-	reuse bool
-	done  bool
+	conn    *conn
+	request *writing
+	stop    func() bool
+	reuse   bool
+	done    bool
 }
 
 // Read reads the body. An error other than io.EOF means that it is not complete.
@@ -351,7 +344,7 @@
 	if err == nil && b.conn.in.Buffered() > 0 {
 		b.conn.pool.report(ForeignResponse{Address: b.conn.address})
 	}
-	if err == nil && active && b.reuse && b.conn.reusable() {
+	if err == nil && active && b.reuse && b.request.complete() && b.conn.reusable() {
 		b.conn.pool.put(b.conn)
 		return
 	}
