--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -130,24 +130,16 @@
 	}
 	c.seen.add(r.id())
 	stop := context.AfterFunc(ctx, c.abort)
-	n, err := c.Write(r.bytes())
+	w := c.startWrite(r.bytes())
+	a, err := w.readResponse(c, r)
 	if err != nil {
 		stop()
 		c.close()
-		if n == 0 {
-			return nil, nil, &UnsentError{Cause: err}
-		}
-		return nil, nil, &BrokenError{Cause: err}
-	}
-	a, err := c.readResponse(r)
-	if err != nil {
-		stop()
-		c.close()
-		return nil, nil, &BrokenError{Cause: err}
+		return nil, nil, w.failure(err)
 	}
 	// A copy of a response to HEAD would take the length of its missing body from the response that follows.
 	reuse := r.Echo != "" && !a.Close && framed(a) && r.Method != http.MethodHead
-	return a, &body{ReadCloser: a.Body, conn: c, stop: stop, reuse: reuse}, nil
+	return a, &body{ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse}, nil
 }
 
 // Identify decides whether a response belongs to a request whose server echoes no id. It returns a mark
@@ -239,9 +231,8 @@
 
 // readResponse reads the header of the response to r and skips responses to other requests.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
-	q := &http.Request{Method: r.Method}
 	for range maxSkipped + 1 {
-		a, err := c.readHead(q)
+		a, err := c.readHead()
 		if err != nil {
 			return nil, err
 		}
@@ -249,6 +240,9 @@
 			continue
 		}
 		if r.Echo == "" || r.isNamed(a.Header) {
+			if r.Method == http.MethodHead {
+				a.Body = http.NoBody
+			}
 			return a, nil
 		}
 		c.onForeign(r, a.StatusCode)
@@ -262,11 +256,12 @@
 	return nil, errForeignResponse
 }
 
-// readHead reads one response up to its body.
-func (c *conn) readHead(q *http.Request) (*http.Response, error) {
+// readHead reads one response up to its body. It counts on a body also if the request that waits is a HEAD, as
+// a response before the due one may have one.
+func (c *conn) readHead() (*http.Response, error) {
 	c.limit.remaining = maxHead
 	defer func() { c.limit.remaining = unlimited }()
-	a, err := http.ReadResponse(c.in, q)
+	a, err := http.ReadResponse(c.in, nil)
 	if err == nil && holdsStatusLine(a) {
 		return nil, errJoinedHeads
 	}
@@ -310,10 +305,11 @@
 // body is a response body that returns the connection to the pool at its end.
 type body struct {
 	io.ReadCloser
-	conn  *conn
-	stop  func() bool
-	reuse bool
-	done  bool
+	conn    *conn
+	request *writing
+	stop    func() bool
+	reuse   bool
+	done    bool
 }
 
 // Read reads the body. An error other than io.EOF means that it is not complete.
@@ -348,7 +344,7 @@
 	if err == nil && b.conn.in.Buffered() > 0 {
 		b.conn.pool.report(ForeignResponse{Address: b.conn.address})
 	}
-	if err == nil && active && b.reuse && b.conn.reusable() {
+	if err == nil && active && b.reuse && b.request.complete() && b.conn.reusable() {
 		b.conn.pool.put(b.conn)
 		return
 	}
