A server error does not clear a request and its segments of crashes

What callers would see: while servers also answer some requests with 500, requests with a deadly segment crash server after server, as each error to one of them makes all nodes forget the crashes.

Cause: forward called OnSuccess for every response that is not an event stream, whatever its status. A server may send an error before it runs the request.

Change: responses from 500 on clear nothing.

--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"bergamotspring/io/standin"
+	platformstandin "bergamotspring/platform/standin"
 )
 
 // contactTime is the platform's bound for what happened to be known to all nodes.
@@ -61,6 +63,22 @@
 	})
 }
 
+// The same with servers that answer every third of these requests with an error before they run it.
+func TestCrashingPromptSegmentBesideErrors(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		var n atomic.Int32
+		for _, d := range []string{"a", "b", "c"} {
+			w.servers["model-"+d].Raw = func(x platformstandin.Run) string {
+				if x.ID[0] != 'd' || n.Add(1)%3 != 0 {
+					return ""
+				}
+				return "HTTP/1.1 500 Internal Server Error\r\nX-Bergamotspring-Request-Id: " + x.ID + "\r\nContent-Length: 0\r\n\r\n"
+			}
+		}
+		w.testCrashingSegment(t, "/draft/x", "aa:800")
+	})
+}
+
 // testCrashingSegment sends a request with segment dead to a path each second, after other segments,
 // which sound requests also have.
 func (w *testFleet) testCrashingSegment(t *testing.T, path, other string) {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -223,8 +223,11 @@
 	if err != nil {
 		q.fail(err.Error(), 0)
 	}
-	q.server.OnSuccess(q.suspect())
-	q.end("answered", a.response.Status < http.StatusInternalServerError, 0, zap.String("server", t.ID), zap.Int("status", a.response.Status))
+	good := a.response.Status < http.StatusInternalServerError
+	if good { // an error may be sent before the request runs
+		q.server.OnSuccess(q.suspect())
+	}
+	q.end("answered", good, 0, zap.String("server", t.ID), zap.Int("status", a.response.Status))
 }
 
 // contextEnded ends a request whose deadline passed or whose caller disconnected, or because the
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -83,7 +83,7 @@
 	// called when a server that may have read a request did not respond, also after a
 	// timeout, or broke off an event stream or the buffered part of another response, and
 	// without segments if several events had come; OnResponse when several
-	// events came, OnSuccess when a request completed.
+	// events came, OnSuccess when a request completed without a server error.
 	Suspects              *suspect.Counter
 	OnBroken              func(r suspect.Request, t *relay.Server)
 	OnResponse, OnSuccess func(r suspect.Request)
