io/exchange: a probe does not count against the limit of connections

Cause: Probe took its connection from the pool's limit for the address. When a server crashes, the first request that notices probes it while the connections of the others still count. On a node that uses its whole share of max-conns, the probe failed with FullError, which says nothing of the server, and the crash was not counted for the requests that waited for this probe, the deadly one among them.

Change: Probe opens a connection of its own and closes it at once.

TestMaxConnections, before: probe of a server that listens: exchange: all connections are in use.

--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -344,7 +344,7 @@
 	})
 }
 
-// No more connections than MaxConnections are opened to a server.
+// No more connections than MaxConnections are opened to a server, but for a probe.
 func TestMaxConnections(t *testing.T) {
 	run(t, func(s *script) {
 		s.pool.MaxConnections = func(string) int { return 1 }
@@ -354,6 +354,9 @@
 		if _, _, err := s.do(context.Background(), "2"); !errors.As(err, &u) {
 			t.Errorf("got %v, want an unsent request", err)
 		}
+		if err := s.pool.Probe(context.Background(), address); err != nil {
+			t.Errorf("probe of a server that listens: %v", err)
+		}
 		s.responses <- okResponse("1", "ok")
 	})
 }
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -112,13 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	d := p.Dial
-	if d == nil {
-		d = func(ctx context.Context, address string) (net.Conn, error) { return Dial(ctx, "tcp", address) }
-	}
-	n, err := d(ctx, address)
+	n, err := p.connect(ctx, address)
 	if err != nil {
 		p.release(address)
 		return nil, err
@@ -127,6 +121,16 @@
 	return &conn{Conn: n, pool: p, address: address, in: bufio.NewReaderSize(l, readBuffer), limit: l}, nil
 }
 
+// connect opens a connection that the pool does not count.
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if p.Dial != nil {
+		return p.Dial(ctx, address)
+	}
+	return Dial(ctx, "tcp", address)
+}
+
 // closeIdle closes the idle connection to an address that was unused longest, and reports whether there
 // was one.
 func (p *Pool) closeIdle(address string) bool {
@@ -143,13 +147,14 @@
 	return true
 }
 
-// Probe opens a connection and closes it. The error is an *UnsentError.
+// Probe opens a connection and closes it, also if MaxConnections are open: those of a server that has
+// crashed count until their users notice. The error is an *UnsentError.
 func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
+	c, err := p.connect(ctx, address)
 	if err != nil {
 		return &UnsentError{Refused: refused(err), Cause: err}
 	}
-	c.close()
+	_ = c.Close() // nothing was sent
 	return nil
 }
 
