core/suspect: the crashes of a culprit are evicted last

Cause: a Counter keeps 4096 requests and segments of crashes and evicts the oldest crashes first, also those for which it refuses requests. When many servers crash at once, as 30 with 70 requests and two segments each do, all nodes forgot what they knew, and let the next requests with the deadly segment crash three more servers.

Change: crashes that a culprit explains go last, the oldest of them first.

TestCounterKeepsCulprits, before: poison false, want true.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -22,7 +22,7 @@
 	// reports arrive.
 	searchInterval = 50 * time.Millisecond
 	// maxCounted bounds the requests and segments in all recorded crashes together; the
-	// oldest crashes are evicted first.
+	// oldest crashes are evicted first, those of culprits last.
 	maxCounted = 4096
 )
 
@@ -119,14 +119,31 @@
 		}
 	}
 	for c.counted > maxCounted && len(c.crashes) > 1 {
-		oldest := 0
-		for i, x := range c.crashes {
-			if x.usedAt.Before(c.crashes[oldest].usedAt) {
+		remove(c.oldest())
+	}
+}
+
+// oldest returns the index of the crash whose culprit was resent longest ago, of those without a
+// culprit if there are any. The newest crash does not count, as there was no search yet. The lock is held.
+func (c *Counter) oldest() int {
+	l := c.crashes[:len(c.crashes)-1]
+	for _, explained := range []bool{false, true} {
+		oldest := -1
+		for i, x := range l {
+			if c.explained(x) == explained && (oldest < 0 || x.usedAt.Before(l[oldest].usedAt)) {
 				oldest = i
 			}
 		}
-		remove(oldest)
+		if oldest >= 0 {
+			return oldest
+		}
 	}
+	return 0
+}
+
+// explained reports whether a culprit was on the server. The lock is held.
+func (c *Counter) explained(x *crash) bool {
+	return slices.ContainsFunc(c.culprits, func(k Culprit) bool { return slices.ContainsFunc(x.requests, k.matches) })
 }
 
 // ObserveSuccess clears a request that succeeded, and its segments. It reports whether
--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -169,6 +169,20 @@
 	c.check("sound one", req(9, first, 2), false)
 }
 
+// The crashes of a segment that is refused are not evicted for those of many servers at once.
+func TestCounterKeepsCulprits(t *testing.T) {
+	c := newTestCounter(t)
+	for i, s := range []string{"a", "b", "c"} {
+		c.crash(s, req(uint64(i), dead))
+	}
+	c.check("found", req(9, dead), true)
+	c.now = c.now.Add(time.Second)
+	for i := range uint64(maxCounted) {
+		c.ObserveCrash(string(rune('A'+i%30)), []Request{req(100+i, i)})
+	}
+	c.check("after the loss of 30 servers", req(9, dead), true)
+}
+
 func TestCounterIsBounded(t *testing.T) {
 	c := newTestCounter(t)
 	for i := range uint64(maxCounted) { // three times as much is counted
