core/suspect: sound segments that were on crashed servers by chance are released when others explain their crashes

Cause: of the segments with enough crashes, the largest group that always came together was taken first. If the deadly one comes in other company each time, and two sound ones that have just come into use were on the first three servers, the sound ones were refused. Nothing ran with them from then on, so nothing cleared them, and each refusal kept them for another minute; the deadly one was found at its sixth crash only, since the first three counted as explained.

Change: a segment explains the crashes of others if it was in all of them and in two more, also if it is none of them.

TestCounterReleasesWrongSegments, before, after the fifth crash: deadly: poison false, want true; sound: poison true, want false.

--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -156,6 +156,21 @@
 	c.check("another one with its segments", req(9, first, own), false)
 }
 
+// Sound segments that were on three servers by chance are released once the deadly one, which came in other
+// company each time, has two more crashes; nothing else would clear them, as they do not run.
+func TestCounterReleasesWrongSegments(t *testing.T) {
+	c := newTestCounter(t)
+	for i, s := range []string{"a", "b", "c", "d", "e"} {
+		l := []Request{req(uint64(i), 0x100+uint64(i), dead)}
+		if i < poisonThreshold {
+			l = append(l, req(50+uint64(i), first, own))
+		}
+		c.crash(s, l...)
+	}
+	c.check("deadly", req(9, 5, dead), true)
+	c.check("sound", req(10, first, own), false)
+}
+
 // Two deadly segments at the same time are both found.
 func TestCounterFindsTwoSegments(t *testing.T) {
 	c := newTestCounter(t)
--- a/core/suspect/culprit.go
+++ b/core/suspect/culprit.go
@@ -19,8 +19,8 @@
 	// crashGap is the time within which crashes count once for a segment: servers that
 	// crash together, as in the loss of a failure domain, had popular segments in common.
 	crashGap = 300 * time.Millisecond
-	// otherCompany is the number of crashes, crashGap apart, without the rest of a culprit's
-	// segments that show that some of them are enough.
+	// otherCompany is the number of crashes, crashGap apart, without a culprit's segments that show
+	// that others, which were in its crashes too, are enough.
 	otherCompany = 2
 )
 
@@ -74,10 +74,15 @@
 	return cmp.Or(cmp.Compare(len(o.Segments), len(k.Segments)), cmp.Compare(o.Crashes, k.Crashes), slices.Compare(k.Segments, o.Segments))
 }
 
-// explains reports whether k is enough to explain the crashes of o, since its segments went on to
-// crash servers without the rest of o's.
-func (k Culprit) explains(o Culprit) bool {
-	return k.groups >= o.groups+otherCompany && k.matches(Request{Segments: o.Segments})
+// explains reports whether k is enough to explain the crashes of o: it was in all of them, and its
+// segments went on to crash servers without o's.
+func (k Culprit) explains(o Culprit, crashes []*crash) bool {
+	if k.groups < o.groups+otherCompany {
+		return false
+	}
+	return !slices.ContainsFunc(crashes, func(x *crash) bool {
+		return slices.ContainsFunc(x.requests, o.matches) && !slices.ContainsFunc(x.requests, k.matches)
+	})
 }
 
 // findCulprits returns the culprits of crashes, which are sorted by time. Segments come
@@ -130,7 +135,7 @@
 	slices.SortFunc(l, compareCulprits)
 	best := l[0]
 	for _, k := range l[1:] {
-		if k.explains(best) {
+		if k.explains(best, crashes) {
 			best = k
 		}
 	}
