--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -156,6 +156,21 @@
 	c.check("another one with its segments", req(9, first, own), false)
 }
 
+// Sound segments that were on three servers by chance are released once the deadly one, which came in other
+// company each time, has two more crashes; nothing else would clear them, as they do not run.
+func TestCounterReleasesWrongSegments(t *testing.T) {
+	c := newTestCounter(t)
+	for i, s := range []string{"a", "b", "c", "d", "e"} {
+		l := []Request{req(uint64(i), 0x100+uint64(i), dead)}
+		if i < poisonThreshold {
+			l = append(l, req(50+uint64(i), first, own))
+		}
+		c.crash(s, l...)
+	}
+	c.check("deadly", req(9, 5, dead), true)
+	c.check("sound", req(10, first, own), false)
+}
+
 // Two deadly segments at the same time are both found.
 func TestCounterFindsTwoSegments(t *testing.T) {
 	c := newTestCounter(t)
@@ -169,6 +184,20 @@
 	c.check("sound one", req(9, first, 2), false)
 }
 
+// The crashes of a segment that is refused are not evicted for those of many servers at once.
+func TestCounterKeepsCulprits(t *testing.T) {
+	c := newTestCounter(t)
+	for i, s := range []string{"a", "b", "c"} {
+		c.crash(s, req(uint64(i), dead))
+	}
+	c.check("found", req(9, dead), true)
+	c.now = c.now.Add(time.Second)
+	for i := range uint64(maxCounted) {
+		c.ObserveCrash(string(rune('A'+i%30)), []Request{req(100+i, i)})
+	}
+	c.check("after the loss of 30 servers", req(9, dead), true)
+}
+
 func TestCounterIsBounded(t *testing.T) {
 	c := newTestCounter(t)
 	for i := range uint64(maxCounted) { // three times as much is counted
