Outage of the store: nodes report whose calls of it failed

Both first called the store after the outage (a9 at 5.264 s, a1 at 5.657 s), so they had no failed call, and their tables were 2.4 and 2.8 s old, under the 4 s after which age alone counted. a3, whose call had failed at 4.738 s, kept the server. The nodes that a9 and a1 queried meanwhile knew of the outage and did not say so; also the end of an outage in the response to a query for the age of tables was not read. A second fault on the way: a failed call counted until the node's own next success. A node that then followed others had failed once and for all, and took the next loss of a reader for an outage.

Change: core/fanout.Outages decides. Responses with tables, and those for their age, carry the nodes whose own calls of the store failed, with the age of the last failure (own and two others, passed on for 10 s); the end of an outage travels as before. A response of the store ends an outage if the store responded to no node for 1.5 s, as far as is known, and since then a call of the node itself failed, or calls of two others. A single other one may be a reader that alone does not reach the store. Age alone never counts; the 4 s are gone. A node does not take up the end that another one reports if the store responded to nodes within the 1.5 s before: that one was without the store alone (cut off, frozen). The beginnings of failures are not sent: the time of the last response bounds them.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -159,9 +159,10 @@
 	n.scheduler.core = placement.Scheduler{Now: time.Now, View: n.cache.View, Region: s.Region, CountFirst: n.taskRetries.countFirst, TakeRetry: n.takeTaskRetry}
 	n.tableFollower = tableFollower{settings: s, tables: &n.tableCache, cache: &n.cache, roster: &n.roster, log: n.Log, mesh: n.mesh.Load}
 	n.tableFollower.core = fanout.Follower{Self: s.Peer, Now: time.Now}
+	n.tableFollower.outages.Self = s.Peer
 	n.tableCache = tableCache{
 		settings: s, store: &n.store, cache: &n.cache, roster: &n.roster, log: n.Log,
-		onConfirm: n.tableFollower.onConfirm, onReconnect: n.tableFollower.onReconnect,
+		onConfirm: n.tableFollower.onConfirm, onResponse: n.tableFollower.onStoreResponse, onFailure: n.tableFollower.onStoreFailure,
 	}
 	n.tableCache.init()
 	n.schedulerClient = schedulerClient{self: s.Peer, stopping: n.stopping.Load, region: s.Region, roster: &n.roster, mesh: n.mesh.Load, scheduler: &n.scheduler, log: n.Log}
--- a/io/edge/tablecache.go
+++ b/io/edge/tablecache.go
@@ -33,8 +33,9 @@
 	log      *zap.Logger
 	// onConfirm is called after the store has confirmed a table.
 	onConfirm func()
-	// onReconnect is called before the first changes after an outage of the store.
-	onReconnect func()
+	// onResponse and onFailure are called when the store has responded with servers' entries, before they
+	// are merged, and when it did not.
+	onResponse, onFailure func(at time.Time)
 
 	reading                  readSwitch
 	operator, servers, nodes *tableWatch
@@ -43,7 +44,7 @@
 func (b *tableCache) init() {
 	b.operator = b.watch(platform.TableOperator, operatorLongPoll, 0, b.onOperatorRows)
 	b.servers = b.watch(platform.TableServers, 0, serversPollInterval, b.onServerRows)
-	b.servers.onReconnect = b.onReconnect
+	b.servers.onResponse, b.servers.onFailure = b.onResponse, b.onFailure
 	b.servers.copy.Content = b.serverContent
 	b.servers.copy.Differs = b.coldLonger
 	b.nodes = b.watch(platform.TableNodes, nodesLongPoll, nodesPollInterval, b.onNodeRows)
--- a/io/edge/tablefollow.go
+++ b/io/edge/tablefollow.go
@@ -33,8 +33,8 @@
 )
 
 // tableFollower keeps the tables of a node up to date, from the store or from other nodes, as
-// core/fanout decides, and responds to the queries of other nodes. Of other locks only the roster's is
-// taken while its lock is held.
+// core/fanout decides, and responds to the queries of other nodes. Of other locks only those of the roster
+// and the cache are taken while its lock is held.
 type tableFollower struct {
 	settings *platform.Settings
 	tables   *tableCache
@@ -45,6 +45,7 @@
 
 	mu         sync.Mutex
 	core       fanout.Follower
+	outages    fanout.Outages
 	ordered    []roster.Node // the nodes that order is made of
 	order      fanout.Tree
 	reader     string // peer address of the node that read the tables from the store
@@ -168,6 +169,7 @@
 		f.onFailure(ctx, source, err)
 		return false
 	}
+	f.learn(t)
 	age := time.Since(f.tables.confirmedAt(confirmations(t)))
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -248,9 +250,7 @@
 
 // merge merges the tables of a response, and returns those that must be fetched whole.
 func (f *tableFollower) merge(t peer.Tables) (whole []peer.TableVersion) {
-	if !t.RegainedAt.IsZero() {
-		f.setRegained(t.RegainedAt)
-	}
+	f.learn(t)
 	before := f.tables.confirmedAt(f.tables.versions())
 	for _, c := range t.Tables {
 		if w := f.tables.find(c.Table); w != nil && !w.merge(c.Changes) {
@@ -274,13 +274,46 @@
 	f.notify()
 }
 
-// onReconnect records that the store responds again after an outage.
-func (f *tableFollower) onReconnect() { f.setRegained(time.Now()) }
+// learn takes account of what another node reports about calls of the store.
+func (f *tableFollower) learn(t peer.Tables) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !t.RegainedAt.IsZero() && f.outages.Admits(t.RegainedAt) {
+		f.setRegained(t.RegainedAt)
+	}
+	for _, x := range t.Failures {
+		if x.Peer != f.settings.Peer {
+			f.outages.OnFailure(x)
+		}
+	}
+	for _, c := range t.Tables {
+		if c.Table == platform.TableServers {
+			f.outages.OnResponse(c.ConfirmedAt)
+		}
+	}
+}
 
-func (f *tableFollower) setRegained(at time.Time) {
-	f.cache.Reconnected(at)
+// onStoreFailure takes account of a call of the store by this node that failed.
+func (f *tableFollower) onStoreFailure(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outages.OnFailure(fanout.Failure{Peer: f.settings.Peer, At: at})
+}
+
+// onStoreResponse takes account of a response of the store to this node, before its changes.
+func (f *tableFollower) onStoreResponse(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.outages.EndsWith(at) {
+		f.log.Info("outage_ended")
+		f.setRegained(at)
+	}
+	f.outages.OnResponse(at)
+}
+
+// setRegained records the end of an outage. The lock is held.
+func (f *tableFollower) setRegained(at time.Time) {
+	f.cache.Reconnected(at)
 	if at.After(f.regainedAt) {
 		f.regainedAt = at
 	}
--- a/io/edge/tableserve.go
+++ b/io/edge/tableserve.go
@@ -85,6 +85,7 @@
 func (f *tableFollower) response(q peer.TablesQuery) peer.Tables {
 	f.mu.Lock()
 	t := peer.Tables{Reader: f.reader}
+	t.Failures = f.outages.Failures(time.Now())
 	if time.Since(f.regainedAt) < regainedTime {
 		t.RegainedAt = f.regainedAt
 	}
--- a/io/edge/tablewatch.go
+++ b/io/edge/tablewatch.go
@@ -33,12 +33,6 @@
 	// retryMin and retryMax bound the backoff after an error of the store.
 	retryMin = 300 * time.Millisecond
 	retryMax = time.Second
-	// minOutage is the shortest time without a response of the store to any node after which
-	// entries may have expired only because heartbeats did not reach the store.
-	minOutage = 1500 * time.Millisecond
-	// unobservedOutage is the same for a node whose own calls did not fail: until then its tables may
-	// be old because the reader was lost.
-	unobservedOutage = 4 * time.Second
 )
 
 // tableWatch holds a node's copy of one table, and reads it from the store while reading is on.
@@ -54,8 +48,9 @@
 	onChange func(rows map[string]replica.Row, keys []string)
 	// onConfirm is called after the store has responded, without a lock.
 	onConfirm func()
-	// onReconnect, if set, is called before the first changes that the store sends after an outage.
-	onReconnect func()
+	// onResponse and onFailure, if set, are called when the store has responded, before the changes are
+	// merged, and when a call failed.
+	onResponse, onFailure func(at time.Time)
 
 	mu        sync.Mutex
 	copy      replica.Table
@@ -149,8 +144,11 @@
 	f.readWhole = true
 }
 
-// onStoreError logs the beginning of an outage of the store.
+// onStoreError reports a failed call, and logs the beginning of an outage of the store.
 func (f *tableWatch) onStoreError(err error) {
+	if f.onFailure != nil {
+		f.onFailure(time.Now())
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lostSince.IsZero() {
@@ -159,23 +157,17 @@
 	}
 }
 
-// endOutage ends an outage of the store, if there was one.
+// endOutage reports that the store responded, and logs the end of an outage if there was one.
 func (f *tableWatch) endOutage(now time.Time) {
 	f.mu.Lock()
-	lost, confirmedAt := f.lostSince, f.copy.ConfirmedAt()
+	lost := f.lostSince
 	f.lostSince = time.Time{}
 	f.mu.Unlock()
 	if !lost.IsZero() {
 		f.log.Info("store_regained", zap.String("table", f.table), zap.Duration("away", now.Sub(lost)))
 	}
-	// A node that called the store rarely observed the end of an outage only: the age of its tables,
-	// which others may have read, tells how long no node has reached the store.
-	longest := minOutage
-	if lost.IsZero() {
-		longest = unobservedOutage
-	}
-	if f.onReconnect != nil && !confirmedAt.IsZero() && now.Sub(confirmedAt) >= longest {
-		f.onReconnect()
+	if f.onResponse != nil {
+		f.onResponse(now)
 	}
 }
 
--- a/io/peer/tables.go
+++ b/io/peer/tables.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"bergamotspring/core/fanout"
 	"bergamotspring/core/replica"
 	"bergamotspring/core/store"
 	"bergamotspring/schema/wire"
@@ -35,7 +36,9 @@
 	// RegainedAt is when the store responded again after its last outage, zero if there was
 	// none of late.
 	RegainedAt time.Time
-	Tables     []TableChanges
+	// Failures are those of nodes' own calls of the store, of late.
+	Failures []fanout.Failure
+	Tables   []TableChanges
 }
 
 // TableChanges holds the changes of one table.
@@ -81,7 +84,10 @@
 }
 
 func wireTables(t Tables, now time.Time) *wire.Mirror {
-	return &wire.Mirror{Reader: t.Reader, Regained: wireAge(t.RegainedAt, now), Tables: each(t.Tables, func(c TableChanges) wire.MirrorTable {
+	failed := each(t.Failures, func(f fanout.Failure) wire.MirrorFailed {
+		return wire.MirrorFailed{Peer: f.Peer, Age: wireAge(f.At, now)}
+	})
+	return &wire.Mirror{Reader: t.Reader, Regained: wireAge(t.RegainedAt, now), Failed: failed, Tables: each(t.Tables, func(c TableChanges) wire.MirrorTable {
 		return wire.MirrorTable{
 			Table: c.Table, Since: int(c.Since), Version: int(c.Version), Age: wireAge(c.ConfirmedAt, now), Sum: int(c.Sum), Removed: c.Removed,
 			Rows: each(c.Rows, func(r replica.Row) wire.MirrorRow {
@@ -92,7 +98,8 @@
 }
 
 func tablesOf(w wire.Mirror, now time.Time) Tables {
-	return Tables{Reader: w.Reader, RegainedAt: timeOf(w.Regained, now), Tables: each(w.Tables, func(c wire.MirrorTable) TableChanges {
+	failures := each(w.Failed, func(f wire.MirrorFailed) fanout.Failure { return fanout.Failure{Peer: f.Peer, At: timeOf(f.Age, now)} })
+	return Tables{Reader: w.Reader, RegainedAt: timeOf(w.Regained, now), Failures: failures, Tables: each(w.Tables, func(c wire.MirrorTable) TableChanges {
 		return TableChanges{Table: c.Table, Changes: replica.Changes{
 			Since: uint64(c.Since), Version: uint64(c.Version), ConfirmedAt: timeOf(c.Age, now), Sum: uint64(c.Sum), Removed: c.Removed,
 			Rows: each(c.Rows, func(r wire.MirrorRow) replica.Row {
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -348,6 +348,9 @@
 
 // Tables that are newer than the requester's.
 type Mirror struct {
+	// Nodes whose own calls of the store failed of late, as far as the sender knows.
+	Failed []MirrorFailed `msgpack:"failed"`
+
 	// Peer address of the node that read the tables from the store; empty: unknown.
 	Reader string `msgpack:"reader"`
 
@@ -373,6 +376,15 @@
 	Wait int `msgpack:"wait"`
 }
 
+// A node whose own calls of the store failed.
+type MirrorFailed struct {
+	// Microseconds since the last call that failed.
+	Age int `msgpack:"age"`
+
+	// Peer address.
+	Peer string `msgpack:"peer"`
+}
+
 // Version of a table that the requester has.
 type MirrorHave struct {
 	// Microseconds since the store confirmed the version, as far as the requester
