--- a/io/edge/repeated_test.go
+++ b/io/edge/repeated_test.go
@@ -100,12 +100,12 @@
 // copy of the response to the request before it is not taken for its own.
 func TestRequestIDInConnectionHeader(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		w.onlyServer("plain", "b")
+		w.onlyServer("plain", "c")
 		w.repeater.On.Store(true)
 		for i, path := range []string{"/read/1", "/read/2"} {
 			id := fmt.Sprint("c", i)
 			r := w.request("a1", http.MethodGet, path, id, "Connection", "X-Bergamotspring-Request-Id")
-			if want := "answer of plain-b to " + id; r.status != 200 || r.body != want || w.runCount(id) != 1 {
+			if want := "answer of plain-c to " + id; r.status != 200 || r.body != want || w.runCount(id) != 1 {
 				t.Errorf("%s: got %d %v %q, want %q", path, r.status, r.err, r.body, want)
 			}
 		}
