The end of a response with neither a length nor chunks does not clear a request and its segments of crashes

What callers would see: a server that crashes after the first event of such a stream closes its connection as if it had ended. Each crash cleared the segments that caused it on all nodes, and was not counted: requests with a deadly segment went on crashing servers.

Cause: such an end passes for complete, as it has to for the caller, and called OnSuccess.

Change: unless several events had come, the server is probed as if it had broken the response off; one that still listens counts for nothing. This also holds for responses that are no event streams.

--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -24,7 +24,7 @@
 		ip, _, _ := net.SplitHostPort(s.Address)
 		s.FatalSegment = id
 		s.Crash = func() {
-			time.Sleep(5 * time.Millisecond) // the header arrives
+			time.Sleep(1500 * time.Microsecond) // what was sent arrives
 			crashes <- time.Now()
 			w.net.SetHost(ip, standin.HostRefuses)
 			time.AfterFunc(3*time.Second, func() { w.net.SetHost(ip, standin.HostUp) })
@@ -79,6 +79,23 @@
 	})
 }
 
+// A stream with neither a length nor chunks that ends after its first event may have ended with its server.
+func TestCrashingPromptSegmentOfUnframedStreams(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		for _, d := range []string{"a", "b", "c"} {
+			s := w.servers["model-"+d]
+			s.Raw = func(x platformstandin.Run) string {
+				if x.ID[0] != 'd' {
+					return ""
+				}
+				go s.Crash()
+				return "HTTP/1.1 200 OK\r\nX-Bergamotspring-Request-Id: " + x.ID + "\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: 1\n\n"
+			}
+		}
+		w.testCrashingSegment(t, "/draft/x", "aa:800")
+	})
+}
+
 // testCrashingSegment sends a request with segment dead to a path each second, after other segments,
 // which sound requests also have.
 func (w *testFleet) testCrashingSegment(t *testing.T, path, other string) {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -225,7 +225,7 @@
 	}
 	good := a.response.Status < http.StatusInternalServerError
 	if good { // an error may be sent before the request runs
-		q.server.OnSuccess(q.suspect())
+		q.reportComplete(a, t)
 	}
 	q.end("answered", good, 0, zap.String("server", t.ID), zap.Int("status", a.response.Status))
 }
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -234,7 +234,7 @@
 	err := out.copy(a.response, func(n int) { a.onEvents(q, g, n) })
 	if err == nil {
 		q.report(g, placement.RunDone)
-		q.server.OnSuccess(q.suspect())
+		q.reportComplete(a, &g.Server)
 		first := max(1, out.firstEvent.Sub(q.arrived))
 		q.end("streamed", true, first, zap.String("server", g.Server.ID), zap.Int("events", q.events), zap.Duration("first_event", first))
 		return runDone
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -81,9 +81,10 @@
 	TakeRetry  func(service string) (remaining int, ok bool)
 	// Suspects knows which requests must not run because they crash servers. OnBroken is
 	// called when a server that may have read a request did not respond, also after a
-	// timeout, or broke off an event stream or the buffered part of another response, and
-	// without segments if several events had come; OnResponse when several
-	// events came, OnSuccess when a request completed without a server error.
+	// timeout, or broke off an event stream or the buffered part of another response, or ended
+	// one whose end does not prove that it is complete, and without segments if several events
+	// had come; OnResponse when several events came, OnSuccess when a request completed without
+	// a server error.
 	Suspects              *suspect.Counter
 	OnBroken              func(r suspect.Request, t *relay.Server)
 	OnResponse, OnSuccess func(r suspect.Request)
--- a/io/proxy/suspect.go
+++ b/io/proxy/suspect.go
@@ -66,6 +66,16 @@
 	q.server.OnBroken(r, t)
 }
 
+// reportComplete reports that a server completed its response to the request. The end of one with neither a
+// length nor chunks may be that of its server.
+func (q *request) reportComplete(a *attempt, t *relay.Server) {
+	if !a.response.Framed && a.reads < provenReads {
+		q.reportBroken(a, t)
+		return
+	}
+	q.server.OnSuccess(q.suspect())
+}
+
 // onEvents reports the progress of an event stream after n reads with events.
 func (a *attempt) onEvents(q *request, g *placement.Decision, n int) {
 	a.reads = n
