--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -44,7 +44,7 @@
 // segments are served at their first attempt.
 func TestCrashingPromptSegment(t *testing.T) {
 	for _, other := range []string{"aa:800", "aa:800,0e:300"} {
-		t.Run(other, func(t *testing.T) { runFleet(t, func(w *testFleet) { w.testCrashingSegment(t, "/draft/x", other) }) })
+		t.Run(other, func(t *testing.T) { runFleet(t, func(w *testFleet) { w.testCrashingSegment(t, other) }) })
 	}
 }
 
@@ -59,7 +59,7 @@
 			}
 		})
 		time.Sleep(2 * time.Second)
-		w.testCrashingSegment(t, "/draft/x", "aa:800")
+		w.testCrashingSegment(t, "aa:800")
 	})
 }
 
@@ -75,7 +75,7 @@
 				return "HTTP/1.1 500 Internal Server Error\r\nX-Bergamotspring-Request-Id: " + x.ID + "\r\nContent-Length: 0\r\n\r\n"
 			}
 		}
-		w.testCrashingSegment(t, "/draft/x", "aa:800")
+		w.testCrashingSegment(t, "aa:800")
 	})
 }
 
@@ -92,13 +92,13 @@
 				return "HTTP/1.1 200 OK\r\nX-Bergamotspring-Request-Id: " + x.ID + "\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: 1\n\n"
 			}
 		}
-		w.testCrashingSegment(t, "/draft/x", "aa:800")
+		w.testCrashingSegment(t, "aa:800")
 	})
 }
 
-// testCrashingSegment sends a request with segment dead to a path each second, after other segments,
+// testCrashingSegment sends a request with segment dead each second, after other segments,
 // which sound requests also have.
-func (w *testFleet) testCrashingSegment(t *testing.T, path, other string) {
+func (w *testFleet) testCrashingSegment(t *testing.T, other string) {
 	crashes := w.crashOnSegment("dead")
 	nodes := []string{"a1", "b1", "c1", "a2"}
 	prefix := func(id, l string) []string {
@@ -114,8 +114,8 @@
 			known = 2 * contactTime // fewer crashes than five: they were soon traced
 		}
 		bad, good := fmt.Sprint("d", i), fmt.Sprint("e", i)
-		w.serving.Go(func() { w.stream(node, path, bad, prefix(bad, other+",dead:100")...) })
-		r := w.stream(nodes[(i+1)%len(nodes)], path, good, prefix(good, other)...)
+		w.serving.Go(func() { w.stream(node, "/draft/x", bad, prefix(bad, other+",dead:100")...) })
+		r := w.stream(nodes[(i+1)%len(nodes)], "/draft/x", good, prefix(good, other)...)
 		time.Sleep(time.Second)
 		if known > contactTime {
 			sent++
@@ -134,7 +134,7 @@
 	if served < sound || sound < 5 {
 		t.Errorf("%d of %d sound requests were served at their first attempt", served, sound)
 	}
-	if r := w.stream("b1", path, "last", prefix("last", other+",dead:100")...); r.status != 503 || r.header.Get("Retry-After") == "" || r.took > 10*time.Millisecond || !strings.Contains(r.body, "not run") {
+	if r := w.stream("b1", "/draft/x", "last", prefix("last", other+",dead:100")...); r.status != 503 || r.header.Get("Retry-After") == "" || r.took > 10*time.Millisecond || !strings.Contains(r.body, "not run") {
 		t.Errorf("got %d %q after %v, want a refusal at once", r.status, r.body, r.took)
 	}
 }
