core/suspect: equal requests on servers that crash together count once

Cause: crashes within 300 ms count once for segments, but each for whole requests. When a service lost three servers at once and sound callers had sent the same request to all of them (a popular GET), it was refused on all nodes. If no such request ran elsewhere, nothing cleared it, and each refusal kept it for another minute.

Change: crashes within 50 ms count once for a request. The gap is shorter than for segments, as a request may be resent at once after a crash: one whose two attempts crash servers within 50 ms is found at its caller's third attempt.

TestCounterSparesSoundSegments, before: equal requests on servers that crashed together: poison true, want false. With 300 ms for requests too, TestCrashingRequest fails (crashes 130 ms apart): 200 after 1 run, want a refusal.

--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -143,6 +143,11 @@
 		c.ObserveCrash(s, []Request{req(uint64(i), first)})
 	}
 	c.check("servers that crashed together", req(9, first), false)
+	for _, s := range []string{"p", "q", "r"} {
+		c.now = c.now.Add(10 * time.Millisecond)
+		c.ObserveCrash(s, []Request{req(70)})
+	}
+	c.check("equal requests on servers that crashed together", req(70), false)
 	c.ObserveResponse(req(0, first))
 	for i, s := range []string{"e", "f", "g", "h"} {
 		c.crash(s, req(uint64(i), own))
--- a/core/suspect/culprit.go
+++ b/core/suspect/culprit.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"strconv"
 	"time"
@@ -19,6 +20,8 @@
 	// crashGap is the time within which crashes count once for a segment: servers that
 	// crash together, as in the loss of a failure domain, had popular segments in common.
 	crashGap = 300 * time.Millisecond
+	// requestGap is the same for equal requests, one of which may be resent at once.
+	requestGap = 50 * time.Millisecond
 	// otherCompany is the number of crashes, crashGap apart, without a culprit's segments that show
 	// that others, which were in its crashes too, are enough.
 	otherCompany = 2
@@ -39,7 +42,7 @@
 	Fingerprint uint64
 	Segments    []uint64 // sorted
 	Crashes     int
-	groups      int // crashes that are crashGap apart
+	groups      int // crashes that are crashGap apart, of a request requestGap
 }
 
 // matches reports whether a request must not run because of the culprit.
@@ -106,11 +109,36 @@
 // tally counts the crashes that a segment or a request was in.
 type tally struct {
 	crashes   int
-	groups    int // crashes that are crashGap apart
+	groups    int // crashes that are a gap apart
 	group     int // the last one
 	byRequest map[uint64]int
 }
 
+// add adds a crash of a group.
+func (t *tally) add(group int) {
+	t.crashes++
+	if t.group != group {
+		t.group = group
+		t.groups++
+	}
+}
+
+// grouped returns the crashes, each with the number, from 1 on, of its group. Groups begin at least gap
+// apart.
+func grouped(crashes []*crash, gap time.Duration) iter.Seq2[int, *crash] {
+	return func(yield func(int, *crash) bool) {
+		group, start := 0, time.Time{}
+		for _, x := range crashes {
+			if group == 0 || x.at.Sub(start) >= gap {
+				group, start = group+1, x.at
+			}
+			if !yield(group, x) {
+				return
+			}
+		}
+	}
+}
+
 // oneRequest reports whether a single request was in all crashes, and so explains them.
 func (t *tally) oneRequest() bool {
 	for _, n := range t.byRequest {
@@ -152,11 +180,7 @@
 		}
 	}
 	m := map[uint64]*tally{}
-	group, start := 0, time.Time{}
-	for i, x := range crashes {
-		if i == 0 || x.at.Sub(start) >= crashGap {
-			group, start = group+1, x.at
-		}
+	for group, x := range grouped(crashes, crashGap) {
 		seen := map[uint64]bool{} // segments of this crash
 		for _, r := range x.requests {
 			for _, s := range r.Segments {
@@ -173,11 +197,7 @@
 					continue
 				}
 				seen[s] = true
-				t.crashes++
-				if t.group != group {
-					t.group = group
-					t.groups++
-				}
+				t.add(group)
 			}
 		}
 	}
@@ -204,16 +224,19 @@
 
 // findRequest returns the request with the most crashes.
 func findRequest(crashes []*crash) (Culprit, bool) {
-	n := map[uint64]int{}
-	for _, x := range crashes {
+	m := map[uint64]*tally{}
+	for group, x := range grouped(crashes, requestGap) {
 		for _, r := range x.requests {
-			n[r.Fingerprint]++
+			if m[r.Fingerprint] == nil {
+				m[r.Fingerprint] = &tally{}
+			}
+			m[r.Fingerprint].add(group)
 		}
 	}
 	var best Culprit
-	for f, i := range n {
-		if i >= poisonThreshold && (i > best.Crashes || i == best.Crashes && f < best.Fingerprint) {
-			best = Culprit{Fingerprint: f, Crashes: i}
+	for f, t := range m {
+		if t.groups >= poisonThreshold && (t.crashes > best.Crashes || t.crashes == best.Crashes && f < best.Fingerprint) {
+			best = Culprit{Fingerprint: f, Crashes: t.crashes, groups: t.groups}
 		}
 	}
 	return best, best.Crashes > 0
