--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -45,14 +45,16 @@
 	}
 }
 
+// prefix returns the header with the segments l and one that only request id has.
+func prefix(id, l string) []string {
+	return []string{"X-Bergamotspring-Prefix-Hash", fmt.Sprintf("%s,bb%s:200", l, id)}
+}
+
 // testCrashingSegment sends a request with segment dead each second, after other segments, which
 // sound requests also have.
 func (w *testFleet) testCrashingSegment(t *testing.T, other string) {
 	crashes := w.crashOnSegment("dead")
 	nodes := []string{"a1", "b1", "c1", "a2"}
-	prefix := func(id, l string) []string {
-		return []string{"X-Bergamotspring-Prefix-Hash", fmt.Sprintf("%s,bb%s:200", l, id)}
-	}
 	sent, reached, served, sound := 0, 0, 0, 0
 	for i := range 30 {
 		node := nodes[i%len(nodes)]
@@ -87,3 +89,50 @@
 		t.Errorf("got %d %q after %v, want a refusal at once", r.status, r.body, r.took)
 	}
 }
+
+// All nodes learn of a prompt segment that crashed servers before they started, or while they were cut
+// off: later than 4 s after that, no request with it reaches a server.
+func TestCulpritOutlivesNodes(t *testing.T) {
+	all := []string{"a1", "b1", "c1", "a2"}
+	t.Run("restarts", func(t *testing.T) {
+		runFleet(t, func(w *testFleet) {
+			w.crashOnSegment("dead")
+			w.sendDeadly("d", all, 10)
+			for _, n := range all {
+				w.kill(n)
+				time.Sleep(500 * time.Millisecond)
+				w.restart(n)
+				time.Sleep(1500 * time.Millisecond)
+			}
+			time.Sleep(contactTime)
+			if got := w.sendDeadly("e", all, 8); got > 0 {
+				t.Errorf("%d runs of 8 requests that crash servers, after each node has restarted", got)
+			}
+		})
+	})
+	t.Run("cut", func(t *testing.T) {
+		runFleet(t, func(w *testFleet) {
+			w.crashOnSegment("dead")
+			w.net.SetHost("10.0.0.2", standin.HostGone) // a2
+			time.Sleep(6 * time.Second)
+			w.sendDeadly("d", all[:3], 10)
+			w.net.SetHost("10.0.0.2", standin.HostUp)
+			time.Sleep(contactTime)
+			if got := w.sendDeadly("e", all[3:], 4); got > 0 {
+				t.Errorf("%d runs of 4 requests that crash servers, at a node that was cut off", got)
+			}
+		})
+	})
+}
+
+// sendDeadly sends n requests with segment dead, one a second, and returns how often they reached a server.
+func (w *testFleet) sendDeadly(id string, nodes []string, n int) int {
+	runs := 0
+	for i := range n {
+		x := fmt.Sprint(id, i)
+		w.stream(nodes[i%len(nodes)], "/draft/x", x, prefix(x, "aa:800,dead:100")...)
+		runs += w.runCount(x)
+		time.Sleep(time.Second)
+	}
+	return runs
+}
