Nodes pass on what crashes servers, so that those learn of it that start later or were out of reach

What callers saw: a prompt segment was known to crash servers and refused; after a planned restart of the nodes, one by one, it crashed servers again, with the streams beside it.

Cause: crashes are reported once, to the nodes that run. A node that starts later, or was cut off or frozen, counts from nothing, and lets the culprit through until it has seen three more crashes.

Now a node that knows culprits exchanges them with two random nodes each second, and a node that starts asks until one answers. What it adopts stops requests like its own. A culprit lives for a minute after the last refusal on any node: refusals are numbered, and each number is taken over once, so that passing it on does not prolong its life; the last ten seconds are not passed on. A response narrows or releases an adopted culprit as an own one; that is remembered for a minute and sent back to nodes that still pass it on, unless servers crashed since. What a peer sends is checked and bounded: 32 culprits, 256 segments each. After a restart of all nodes at once nothing is known.

TestAdopt, TestAdoptedExpires, TestAdoptedCleared and TestAdoptChecks fail without: renewals, their numbers, crashes that are kept for refusals elsewhere, the memory of clearances, its comparison with the last crash, the bound. No test needs the ten seconds of noticeTTL.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -27,8 +27,8 @@
 )
 
 // Counter finds what crashes servers: a request, by its fingerprint, or a prompt segment that
-// several requests share. All nodes get the same reports, and each decides by itself. The
-// zero value is ready to use, with a clock that stands still. It is safe for concurrent use.
+// several requests share. All nodes get the same reports, and each decides by itself; what others
+// found before it started, or while it was out of reach, it adopts. The zero value is ready to use, with a clock that stands still. It is safe for concurrent use.
 type Counter struct {
 	Now func() time.Time
 	// OnFound, if set, is called when a culprit is found, OnReleased when it is none any more.
@@ -39,7 +39,8 @@
 	counted    int      // requests and segments in crashes
 	stale      bool     // crashes changed since the last search
 	searchedAt time.Time
-	culprits   []Culprit
+	culprits   []Culprit // found in crashes, then those adopted
+	notices    notices   // of all culprits
 	watchers   map[*watcher]struct{}
 }
 
@@ -104,8 +105,12 @@
 	return x
 }
 
-// evict deletes expired crashes, and the oldest ones if too much is counted. The lock is held.
+// evict deletes expired crashes and notices, and the oldest crashes if too much is counted. The lock is
+// held.
 func (c *Counter) evict() {
+	if c.notices.expire(c.now()) {
+		c.stale = true
+	}
 	remove := func(i int) {
 		for _, r := range c.crashes[i].requests {
 			c.counted -= r.size()
@@ -143,10 +148,13 @@
 
 func (c *Counter) clear(r Request, whole bool) bool {
 	c.mu.Lock()
-	if len(c.crashes) == 0 {
+	if len(c.crashes) == 0 && len(c.culprits) == 0 {
 		c.mu.Unlock()
 		return false
 	}
+	if !whole {
+		r.Fingerprint = 0
+	}
 	before := c.counted
 	for _, x := range c.crashes {
 		x.requests = slices.DeleteFunc(x.requests, func(y Request) bool {
@@ -163,9 +171,10 @@
 			c.counted -= n - len(y.Segments)
 		}
 	}
-	cleared := c.counted < before
+	cleared := c.notices.clear(r) || c.counted < before
 	notify := func() {}
 	if cleared {
+		c.notices.clearances.add(r, c.now())
 		notify = c.search()
 	}
 	c.mu.Unlock()
@@ -184,17 +193,66 @@
 	}
 	k, ok := c.culpritOf(r)
 	if ok {
-		for _, x := range c.crashes {
-			if slices.ContainsFunc(x.requests, k.matches) {
-				x.usedAt = c.now()
-			}
-		}
+		c.notices.renew(k, c.now())
+		c.keepCrashes(k, c.now())
 	}
 	c.mu.Unlock()
 	notify()
 	return k, ok
 }
 
+// keepCrashes records when a request was refused for a culprit, on this node or another. The lock is held.
+func (c *Counter) keepCrashes(k Culprit, usedAt time.Time) {
+	for _, x := range c.crashes {
+		if x.usedAt.Before(usedAt) && slices.ContainsFunc(x.requests, k.matches) {
+			x.usedAt = usedAt
+		}
+	}
+}
+
+// Notices returns the notices that other nodes are to get.
+func (c *Counter) Notices() []Notice {
+	c.mu.Lock()
+	c.evict()
+	notify := func() {}
+	if c.stale {
+		notify = c.search()
+	}
+	l := c.notices.fresh(c.now())
+	c.mu.Unlock()
+	notify()
+	return l
+}
+
+// Adopt merges the notices of the node that from names, which must not be empty. It returns what was
+// cleared and that node has not been told.
+func (c *Counter) Adopt(from string, l []Notice) (cleared []Request) {
+	c.mu.Lock()
+	c.evict()
+	for _, n := range l[:min(len(l), maxNotices)] {
+		n, ok := n.validate(c.now())
+		if !ok {
+			continue
+		}
+		n, taken := c.notices.clearances.apply(n)
+		cleared = append(cleared, taken...)
+		if n.empty() {
+			continue
+		}
+		n.From = from
+		renewedAt, adopted := c.notices.merge(n)
+		c.keepCrashes(n.Culprit, renewedAt)
+		c.stale = c.stale || adopted
+	}
+	notify := func() {}
+	if c.stale {
+		notify = c.search()
+	}
+	c.mu.Unlock()
+	notify()
+	return cleared
+}
+
 func (c *Counter) culpritOf(r Request) (Culprit, bool) {
 	i := slices.IndexFunc(c.culprits, func(k Culprit) bool { return k.matches(r) })
 	if i < 0 {
@@ -224,7 +282,9 @@
 func (c *Counter) search() (notify func()) {
 	c.stale, c.searchedAt = false, c.now()
 	old := c.culprits
-	c.culprits = findCulprits(c.crashes)
+	own := findCulprits(c.crashes)
+	c.notices.setOwn(own, c.crashes)
+	c.culprits = append(own, c.notices.adopted(own)...)
 	found, released := missing(old, c.culprits), missing(c.culprits, old)
 	if len(found)+len(released) == 0 {
 		return func() {}
--- a/core/suspect/culprit.go
+++ b/core/suspect/culprit.go
@@ -39,7 +39,8 @@
 	Fingerprint uint64
 	Segments    []uint64 // sorted
 	Crashes     int
-	groups      int // crashes that are crashGap apart
+	From        string // the node that it was adopted from; empty: found in the recorded crashes
+	groups      int    // crashes that are crashGap apart
 }
 
 // matches reports whether a request must not run because of the culprit.
@@ -68,6 +69,28 @@
 	return k.Fingerprint == o.Fingerprint && slices.Equal(k.Segments, o.Segments)
 }
 
+// includes reports whether all requests that must not run because of o must not because of k either.
+func (k Culprit) includes(o Culprit) bool {
+	return k.matches(Request{Fingerprint: o.Fingerprint, Segments: o.Segments})
+}
+
+// shares reports whether r, which was cleared, is k or has some of its segments.
+func (k Culprit) shares(r Request) bool {
+	if len(k.Segments) == 0 {
+		return r.Fingerprint == k.Fingerprint
+	}
+	return slices.ContainsFunc(k.Segments, func(s uint64) bool { return slices.Contains(r.Segments, s) })
+}
+
+// without returns what remains of k after r, which shares something with it, was cleared.
+func (k Culprit) without(r Request) Culprit {
+	k.Fingerprint = 0
+	k.Segments = slices.DeleteFunc(slices.Clone(k.Segments), func(s uint64) bool { return slices.Contains(r.Segments, s) })
+	return k
+}
+
+func (k Culprit) empty() bool { return k.Fingerprint == 0 && len(k.Segments) == 0 }
+
 // compareCulprits orders culprits: first those that refuse fewer requests, then those with more
 // crashes.
 func compareCulprits(k, o Culprit) int {
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -101,9 +101,8 @@
 			continue
 		}
 		if err := m.SendCrash(x.Peer, server, requests); err != nil {
-			// Not sent again: without the report of a crash, the peer may let the culprit
-			// crash one more server; without that of a success, it goes on counting the
-			// earlier crashes, for crashTTL of core/suspect.
+			// Not sent again: the peer learns of culprits, and that they were cleared, as
+			// nodes exchange them; see culprits.go.
 			n.Log.Info("crash_not_told", zap.String("peer", x.Peer), zap.Error(err))
 		}
 	}
@@ -112,7 +111,7 @@
 // onCulprit logs what is now known to crash servers.
 func (n *Node) onCulprit(k suspect.Culprit) {
 	n.meter.countCulprit("found")
-	n.Log.Warn("culprit_found", zap.Uint64("fingerprint", k.Fingerprint), zap.Strings("segments", k.SegmentNames()), zap.Int("crashes", k.Crashes))
+	n.Log.Warn("culprit_found", zap.Uint64("fingerprint", k.Fingerprint), zap.Strings("segments", k.SegmentNames()), zap.Int("crashes", k.Crashes), zap.String("from", k.From))
 }
 
 // onCulpritReleased logs what is no longer taken for a culprit.
--- /dev/null
+++ b/io/edge/culprits.go
@@ -0,0 +1,100 @@
+package edge
+
+// This file defines how nodes pass on what crashes servers, again and again, so that nodes learn of it that
+// started after the crashes or were out of reach. After the loss of all nodes at once nothing is known.
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotspring/core/roster"
+	"bergamotspring/core/suspect"
+	"bergamotspring/io/peer"
+	"bergamotspring/io/wait"
+)
+
+const (
+	// culpritInterval is how often a node that knows culprits exchanges them.
+	culpritInterval = time.Second
+	// culpritPeers is the number of nodes with which it does.
+	culpritPeers = 2
+	// culpritTimeout bounds one exchange.
+	culpritTimeout = 800 * time.Millisecond
+	// A node that has started asks for culprits at this interval until another one has answered, or the
+	// time is over in which those that know any have sent them anyway.
+	startAskInterval, startAskTime = 100 * time.Millisecond, 5 * time.Second
+)
+
+// runCulprits exchanges culprits with other nodes until the context ends.
+func (n *Node) runCulprits(ctx context.Context) {
+	for start := time.Now(); ctx.Err() == nil && time.Since(start) < startAskTime; wait.Sleep(ctx, startAskInterval) {
+		if n.exchangeCulprits(ctx) {
+			break
+		}
+	}
+	wait.Every(ctx, culpritInterval, func() {
+		if len(n.crashes.Notices()) > 0 {
+			n.exchangeCulprits(ctx)
+		}
+	})
+}
+
+// exchangeCulprits exchanges culprits with random other nodes, and reports whether one answered.
+func (n *Node) exchangeCulprits(ctx context.Context) bool {
+	m := n.mesh.Load()
+	if m == nil {
+		return false
+	}
+	c, cancel := context.WithTimeout(ctx, culpritTimeout)
+	defer cancel()
+	l := n.crashes.Notices()
+	var answered atomic.Bool
+	var g sync.WaitGroup
+	for _, x := range n.randomPeers(culpritPeers) {
+		g.Go(func() {
+			if n.exchangeWith(c, m, x, l) {
+				answered.Store(true)
+			}
+		})
+	}
+	g.Wait()
+	return answered.Load()
+}
+
+// exchangeWith exchanges culprits with a node, and reports whether it answered. A lost message is not sent
+// again: the next round follows soon.
+func (n *Node) exchangeWith(ctx context.Context, m *peer.Mesh, x roster.Node, l []suspect.Notice) bool {
+	known, cleared, err := m.ExchangeCulprits(ctx, x.Peer, l)
+	if err != nil {
+		n.Log.Info("culprits_not_told", zap.String("peer", x.Peer), zap.Error(err))
+		return false
+	}
+	for _, r := range cleared {
+		n.crashes.ObserveSuccess(r)
+	}
+	n.crashes.Adopt(x.Name, known) // x hears what it lacks of clearances in its own rounds
+	return true
+}
+
+// onCulprits handles the culprits that another node knows.
+func (n *Node) onCulprits(from string, l []suspect.Notice) (known []suspect.Notice, cleared []suspect.Request) {
+	cleared = n.crashes.Adopt(from, l)
+	return n.crashes.Notices(), cleared
+}
+
+// randomPeers returns up to k other nodes.
+func (n *Node) randomPeers(k int) []roster.Node {
+	var l []roster.Node
+	all := n.roster.All()
+	for _, i := range rand.Perm(len(all)) {
+		if len(l) < k && all[i].Peer != n.self.Peer {
+			l = append(l, all[i])
+		}
+	}
+	return l
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -183,6 +183,7 @@
 	g.Add(func() error { n.tableFollower.run(work); return nil }, func(error) { end() })
 	g.Add(func() error { n.scheduler.run(work); return nil }, func(error) { end() })
 	g.Add(func() error { n.runMesh(work); return nil }, func(error) { end() })
+	g.Add(func() error { n.runCulprits(work); return nil }, func(error) { end() })
 	g.Add(func() error { wait.Every(work, sweepInterval, n.pool.Sweep); return nil }, func(error) { end() })
 	g.Add(func() error { n.handleHangups(work); return nil }, func(error) { end() })
 	g.Add(func() error { return n.serve(work, callers) }, func(error) { _ = callers.Close() })
@@ -258,10 +259,11 @@
 		OnHello: func(a string, _ lease.Instance) { n.roster.MarkAlive(a) },
 	}
 	peer.PlacementHandlers{
-		Request: n.scheduler.submitRemote,
-		Report:  n.scheduler.report,
-		Crash:   n.onCrashReport,
-		Tables:  n.tableFollower.serve,
+		Request:  n.scheduler.submitRemote,
+		Report:   n.scheduler.report,
+		Crash:    n.onCrashReport,
+		Culprits: n.onCulprits,
+		Tables:   n.tableFollower.serve,
 	}.Register(m)
 	if _, _, err := m.Serve(n.Settings.Peer); err != nil {
 		n.Log.Error("peer_listen_failed", zap.String("address", n.Settings.Peer), zap.Error(err))
--- /dev/null
+++ b/io/peer/culprits.go
@@ -0,0 +1,40 @@
+package peer
+
+// This file carries what crashes servers from node to node. Times travel as ages, as the clocks of nodes
+// differ.
+
+import (
+	"context"
+	"time"
+
+	"bergamotspring/core/suspect"
+	"bergamotspring/schema/wire"
+)
+
+// ExchangeCulprits sends what this node knows to crash servers to the node at an address. It returns what
+// that one knows, and what it has seen cleared of what was sent.
+func (m *Mesh) ExchangeCulprits(ctx context.Context, to string, l []suspect.Notice) (known []suspect.Notice, cleared []suspect.Request, err error) {
+	var w wire.CrashCulprits
+	if err := m.Call(ctx, to, TypeCrashCulprits, wireCulprits(l, nil, time.Now()), TypeCrashCulprits, &w); err != nil {
+		return nil, nil, err
+	}
+	return noticesOf(w, time.Now()), each(w.Cleared, suspectOf), nil
+}
+
+func wireCulprits(l []suspect.Notice, cleared []suspect.Request, now time.Time) *wire.CrashCulprits {
+	return &wire.CrashCulprits{Cleared: each(cleared, wireSuspect), Culprits: each(l, func(n suspect.Notice) wire.CrashCulprit {
+		return wire.CrashCulprit{
+			Fingerprint: int(n.Fingerprint), Segments: ints(n.Segments), Crashes: n.Crashes,
+			CrashAge: wireAge(n.CrashedAt, now), RenewalAge: wireAge(n.RenewedAt, now), Renewals: n.Renewals,
+		}
+	})}
+}
+
+func noticesOf(w wire.CrashCulprits, now time.Time) []suspect.Notice {
+	return each(w.Culprits, func(c wire.CrashCulprit) suspect.Notice {
+		return suspect.Notice{
+			Culprit:   suspect.Culprit{Fingerprint: uint64(c.Fingerprint), Segments: uints(c.Segments), Crashes: c.Crashes},
+			CrashedAt: timeOf(c.CrashAge, now), RenewedAt: timeOf(c.RenewalAge, now), Renewals: c.Renewals,
+		}
+	})
+}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -47,6 +47,7 @@
 	TypeMirror
 	TypeCrash
 	TypePlaceProgress
+	TypeCrashCulprits
 
 	typeEnd // one more than the last type
 )
--- a/io/peer/placement.go
+++ b/io/peer/placement.go
@@ -28,6 +28,9 @@
 	// Crash handles that requests were on a server when it crashed or, without a server,
 	// that they crash none. Fingerprint 0 means only the segments.
 	Crash func(server string, requests []suspect.Request)
+	// Culprits merges what another node knows to crash servers, and returns what this one
+	// knows and what of the other's was cleared.
+	Culprits func(from string, l []suspect.Notice) (known []suspect.Notice, cleared []suspect.Request)
 	// Tables responds to a query for tables of the store. Respond may be called later, from
 	// any goroutine.
 	Tables func(q TablesQuery, respond func(Tables))
@@ -45,6 +48,10 @@
 		h.Report(placement.Report{ID: b.Id, Attempt: b.Try, Server: b.Server, Status: placement.RunStatus(b.End)})
 	})
 	handle(m, TypeCrash, true, func(_ *Request, b wire.Crash) { h.Crash(b.Server, each(b.Requests, suspectOf)) })
+	handle(m, TypeCrashCulprits, true, func(r *Request, b wire.CrashCulprits) {
+		known, cleared := h.Culprits(r.From.Node, noticesOf(b, time.Now()))
+		reply(r, TypeCrashCulprits, wireCulprits(known, cleared, time.Now()))
+	})
 	handle(m, TypeMirrorAsk, true, func(r *Request, b wire.MirrorAsk) {
 		h.Tables(tablesQueryOf(b, time.Now()), func(t Tables) { reply(r, TypeMirror, wireTables(t, time.Now())) })
 	})
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -123,6 +123,38 @@
 	Server string `msgpack:"server"`
 }
 
+// A request, or a set of prompt segments, that crashes servers.
+type CrashCulprit struct {
+	// Since its last crash, in microseconds.
+	CrashAge int `msgpack:"crash_age"`
+
+	// Crashes corresponds to the JSON schema field "crashes".
+	Crashes int `msgpack:"crashes"`
+
+	// Hash of the request's content; 0: all requests with the segments are meant.
+	Fingerprint int `msgpack:"fingerprint"`
+
+	// Since the last refusal of such a request, in microseconds.
+	RenewalAge int `msgpack:"renewal_age"`
+
+	// How often refusals have extended its life.
+	Renewals int `msgpack:"renewals"`
+
+	// Segments corresponds to the JSON schema field "segments".
+	Segments []int `msgpack:"segments"`
+}
+
+// What crashes servers as far as a node knows; the response to it is what the
+// other node knows.
+type CrashCulprits struct {
+	// In a response: what the requester takes for a culprit, and a later response has
+	// cleared.
+	Cleared []CrashRequest `msgpack:"cleared"`
+
+	// Culprits corresponds to the JSON schema field "culprits".
+	Culprits []CrashCulprit `msgpack:"culprits"`
+}
+
 // What of a request may crash servers, or crashes none.
 type CrashRequest struct {
 	// Hash of its content; 0: only the segments are meant.
@@ -343,7 +375,7 @@
 // Messages between nodes. They are encoded as msgpack arrays with the fields in
 // the order of their names, so any change of a message needs a new protocol
 // version: io/peer.Protocol, or PlacementProtocol for those whose names begin with
-// Place or Mirror, and Crash.
+// Place, Mirror or Crash.
 type MessagesSchemaJson map[string]interface{}
 
 // Tables that are newer than the requester's.
