io/exchange: a body that goes over into another response is broken off

A server that stops inside a body and responds once more on the same connection, or whose response without a length is followed by a copy, filled up the first response with the second: the caller got a 200, framed as whole, with the head of the other response in its body.

Bodies are searched, as they are read, for a status line with a field below it that names a request of the same connection. Those ids are known, and nothing else holds them in that form; the exchange then counts as broken off. What fills up a body before its id field is not recognised.

TestResponseInsideBody failed before: got "halfHTTP/1.1 200 OK\r\nX-A: b\r\nid: due\r\n\r\nfill..." and no error, with a copy of an earlier response too. A body with a response to a request of no one is whole before and after.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -94,6 +94,7 @@
 	errForeignResponse = errors.New("answer belongs to another request")
 	errTooLarge        = errors.New("response too large")
 	errStatus          = errors.New("status below 100")
+	errJoinedBody      = errors.New("body goes over into another response")
 	errJoinedHeads     = errors.New("response goes over into another one")
 )
 
@@ -139,7 +140,7 @@
 	}
 	// A copy of a response to HEAD would take the length of its missing body from the response that follows.
 	reuse := r.Echo != "" && !a.Close && framed(a) && r.Method != http.MethodHead
-	return a, &body{ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse}, nil
+	return a, &body{ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse, scan: bodyScan{echo: r.Echo, seen: c.seen}}, nil
 }
 
 // Identify decides whether a response belongs to a request whose server echoes no id. It returns a mark
@@ -310,6 +311,7 @@
 	stop    func() bool
 	reuse   bool
 	done    bool
+	scan    bodyScan
 }
 
 // Read reads the body. An error other than io.EOF means that it is not complete.
@@ -318,6 +320,9 @@
 		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(p)
+	if b.scan.found(p[:n]) {
+		n, err = 0, errJoinedBody
+	}
 	if err == nil {
 		return n, nil
 	}
--- a/io/exchange/joined.go
+++ b/io/exchange/joined.go
@@ -1,8 +1,9 @@
 package exchange
 
-// This file recognises heads that go over into another response.
+// This file recognises heads and bodies that go over into another response.
 
 import (
+	"bytes"
 	"net/http"
 	"regexp"
 	"slices"
@@ -23,3 +24,45 @@
 	}
 	return false
 }
+
+// maxLine is how much of the end of a line is kept, in bytes: more than a status line or an id field has.
+const maxLine = 512
+
+// bodyScan looks for the head of another response in a body. The body has gone over into it if that response names
+// a request of its connection, as nothing else holds the ids of these in that form.
+type bodyScan struct {
+	echo   string // name of the field with the id; empty: nothing is looked for
+	seen   ids    // of the requests of the connection
+	line   []byte // the end of the last line, as far as it was read
+	inHead bool   // a status line was found, and no empty line since
+}
+
+// found reports whether the body, of which b is the next part, has gone over into another response.
+func (s *bodyScan) found(b []byte) bool {
+	if s.echo == "" {
+		return false
+	}
+	for {
+		part, rest, ended := bytes.Cut(b, []byte("\n"))
+		s.line = append(s.line, part[max(0, len(part)-maxLine):]...)
+		s.line = append(s.line[:0], s.line[max(0, len(s.line)-maxLine):]...)
+		if !ended {
+			return false
+		}
+		if s.endsLine(bytes.TrimSuffix(s.line, []byte("\r"))) {
+			return true
+		}
+		s.line, b = s.line[:0], rest
+	}
+}
+
+// endsLine takes account of a whole line and reports whether it names a request of the connection in a head.
+func (s *bodyScan) endsLine(l []byte) bool {
+	if !s.inHead {
+		s.inHead = bytes.Contains(l, []byte("HTTP/1.")) && statusLine.Match(l)
+		return false
+	}
+	s.inHead = len(l) > 0
+	name, value, ok := bytes.Cut(l, []byte(":"))
+	return ok && bytes.EqualFold(name, []byte(s.echo)) && s.seen.has(string(bytes.TrimSpace(value)))
+}
--- a/io/exchange/joined_test.go
+++ b/io/exchange/joined_test.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 )
 
 // A server stops inside the head of a late copy of an earlier response, or of the response that is due, and goes
@@ -108,3 +110,32 @@
 		}
 	})
 }
+
+// A server stops inside a body and responds once more on the same connection, to this request or to an earlier one:
+// the second response does not fill up the first. A body that reads like the response to another request is whole.
+func TestResponseInsideBody(t *testing.T) {
+	for _, c := range []struct {
+		length, id string
+		broken     bool
+	}{
+		{"Content-Length: 60\r\n", "due", true}, {"Content-Length: 60\r\n", "old", true}, {"Content-Length: 60\r\n", "any", false},
+		{"", "due", true}, {"", "any", false},
+	} {
+		run(t, func(s *script) {
+			s.requests = nil
+			s.responses <- okResponse("old", "")
+			if _, _, err := s.do(context.Background(), "old"); err != nil {
+				t.Error(err)
+			}
+			s.responses <- "HTTP/1.1 200 OK\r\nId: due\r\n" + c.length + "\r\nhalfHTTP/1.1 200 OK\r\nX-A: b\r\nid: " + c.id + "\r\n\r\n" + strings.Repeat("fill", 9) + cut
+			r, err := s.pool.Do(context.Background(), &Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"due"}}, Echo: "Id"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if b, err := io.ReadAll(iotest.OneByteReader(r.Body)); (err != nil) != c.broken || s.conns != 1 {
+				t.Errorf("%q, response to %s inside the body: got %q %v", c.length, c.id, b, err)
+			}
+			_ = r.Body.Close()
+		})
+	}
+}
