A node that starts asks for culprits for 5 s, not only until the first one answers

Cause: where several nodes start together, the first to answer may have just started too.

No test of its own.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -27,8 +27,9 @@
 )
 
 // Counter finds what crashes servers: a request, by its fingerprint, or a prompt segment that
-// several requests share. All nodes get the same reports, and each decides by itself; what others
-// found before it started, or while it was out of reach, it adopts. The zero value is ready to use, with a clock that stands still. It is safe for concurrent use.
+// several requests share. All nodes get the same reports, and each decides by itself; it adopts
+// what others found before it started or while it was out of reach. The zero value is ready to
+// use, with a clock that stands still. It is safe for concurrent use.
 type Counter struct {
 	Now func() time.Time
 	// OnFound, if set, is called when a culprit is found, OnReleased when it is none any more.
@@ -224,8 +225,8 @@
 	return l
 }
 
-// Adopt merges the notices of the node that from names, which must not be empty. It returns what was
-// cleared and that node has not been told.
+// Adopt merges the notices of a node, whose name must not be empty. It returns what was cleared
+// without that node's knowledge.
 func (c *Counter) Adopt(from string, l []Notice) (cleared []Request) {
 	c.mu.Lock()
 	c.evict()
--- a/io/edge/culprits.go
+++ b/io/edge/culprits.go
@@ -25,20 +25,20 @@
 	culpritPeers = 2
 	// culpritTimeout bounds one exchange.
 	culpritTimeout = 800 * time.Millisecond
-	// A node that has started asks for culprits at this interval until another one has answered, or the
-	// time is over in which those that know any have sent them anyway.
-	startAskInterval, startAskTime = 100 * time.Millisecond, 5 * time.Second
+	// startAskInterval is how often a node that has started asks others until one answers.
+	startAskInterval = 100 * time.Millisecond
+	// startAskTime is how long it asks in all. The first nodes to answer may have just started, too.
+	startAskTime = 5 * time.Second
 )
 
 // runCulprits exchanges culprits with other nodes until the context ends.
 func (n *Node) runCulprits(ctx context.Context) {
-	for start := time.Now(); ctx.Err() == nil && time.Since(start) < startAskTime; wait.Sleep(ctx, startAskInterval) {
-		if n.exchangeCulprits(ctx) {
-			break
-		}
+	start := time.Now()
+	for time.Since(start) < startAskTime && !n.exchangeCulprits(ctx) && ctx.Err() == nil {
+		wait.Sleep(ctx, startAskInterval)
 	}
 	wait.Every(ctx, culpritInterval, func() {
-		if len(n.crashes.Notices()) > 0 {
+		if time.Since(start) < startAskTime || len(n.crashes.Notices()) > 0 {
 			n.exchangeCulprits(ctx)
 		}
 	})
