The start that prompts share is counted as the cause of crashes on the own interface

What callers saw: 20 requests whose prompts begin alike, no two alike, crashed model servers 29 times, each in its first run and nine of them again in the exclusive one; the callers of sound requests on these servers waited or failed.

Cause: suspect.Set knows whole requests. A new one is unknown until it has crashed the server of its first run and the one on which it ran exclusively.

Change: the ask carries the hash of organisation and start of the prompt (prefix), and the home judges prefixes on the evidence that it has for requests: exclusive runs. A crash of an exclusive call makes its prefix a suspect, whose requests run exclusively; a crash of one that was granted as such makes it poison for five minutes. Shared crashes, and servers of a lost failure domain that crash together, make none poison. A success of any request with the prefix clears it, and for five minutes after that crashes say nothing about it. A response that has only begun clears nothing: the model servers of the test crash at the fourth token. suspect.Set holds prefixes beside fingerprints, and updates carry them with states of their own, so they reach all nodes and outlive a lease holder. Ask has a new field: peer.Protocol 3. An exclusive grant is not retried after a crash, also if only the lease holder knew it for a suspect.

--- a/core/limit/dispatch.go
+++ b/core/limit/dispatch.go
@@ -10,7 +10,7 @@
 	if h.authorityEnd <= h.now || c.request.Group != h.group {
 		return RefusedNotHolder, 0
 	}
-	if h.suspects[c.request.Fingerprint].poison {
+	if c.poison {
 		return RefusedPoison, 0
 	}
 	if !h.anyEligibleFor(c) {
@@ -73,9 +73,8 @@
 		h.refuse(c, RefusedDeadline, 0)
 		return true
 	}
-	m, suspect := h.suspects[c.request.Fingerprint]
-	c.request.Suspect = c.request.Suspect || suspect
-	if m.poison {
+	h.judge(c)
+	if c.poison {
 		h.refuse(c, RefusedPoison, 0)
 		return true
 	}
@@ -114,14 +113,15 @@
 	h.grantCount++
 	waited := h.now - c.received
 	p := h.newPermit()
-	p.server, p.node, p.fingerprint = s, c.request.Node, c.request.Fingerprint
+	p.server, p.node, p.fingerprint, p.prefix = s, c.request.Node, c.request.Fingerprint, c.request.Prefix
+	p.prefixSuspect = c.prefixSuspect
 	p.grantedAt, p.holdUntil = h.now, c.deadline+holdGrace
 	p.granted = Permit{
 		ID: h.nextID, Epoch: h.term.epoch, RequestID: c.request.ID, Group: h.group,
 		Server: s.name, Address: s.address,
 		SendBy:    waited + min(maxSendDelay, h.authorityEnd-h.now, c.deadline-h.now),
 		HoldUntil: c.request.Deadline + holdGrace,
-		Cold:      !s.ramp.done, Exclusive: c.request.Suspect,
+		Cold:      !s.ramp.done, Exclusive: c.exclusive(),
 	}
 	h.addPermit(p)
 	s.lastGrant, s.grantOrder = h.now, h.grantCount
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -22,6 +22,7 @@
 	Deadline     time.Duration // remaining time when the request was sent
 	Fingerprint  uint64        // of organisation, target and body
 	Suspect      bool          // must run as the only call on its server
+	Prefix       uint64        // hash of organisation and start of the prompt, 0: none
 	Preferred    string        // preferred server, empty: any
 	Avoid        []string      // servers that must not be chosen
 }
@@ -56,7 +57,7 @@
 	// RefusedNotHolder: the node has no authority for the group: it does not hold the lease,
 	// or may not grant under it now.
 	RefusedNotHolder
-	// RefusedPoison: the fingerprint is known to crash servers.
+	// RefusedPoison: the fingerprint or the prefix is known to crash servers.
 	RefusedPoison
 	// RefusedBudget: the retry budget is used up.
 	RefusedBudget
--- a/core/limit/limiter.go
+++ b/core/limit/limiter.go
@@ -12,7 +12,7 @@
 // one concern each: dispatch.go decides requests, coldstart.go sets the limit of a cold
 // server, eject.go excludes unhealthy servers, server.go chooses the server of a call,
 // queue.go orders waiting calls, observe.go updates the state from results, and
-// adopt.go collects the permits of the previous lease holder.
+// adopt.go collects the permits of the previous lease holder, and prefix.go judges prefixes.
 
 const (
 	maxSendDelay = 500 * time.Millisecond // a first byte sent later needs a new permit
@@ -35,7 +35,7 @@
 //
 // Limiter is safe for concurrent use. It has one lock, of the level "group" in the
 // lock order (config, membership, leases, group, server, request): Now and Authority
-// are called before it is taken, and no callback is called while it is held.
+// are called before it is taken. Only Prefixes is used while it is held.
 //
 // Invariants, at every return:
 //   - a call is granted only while its server's calls in flight are under its current limit;
@@ -50,6 +50,8 @@
 	// Authority returns the epoch of the group's lease and for how long this node
 	// may still grant under it. nil or remaining <= 0: not the lease holder.
 	Authority func() (epoch uint64, remaining time.Duration)
+	// Prefixes holds the evidence of all groups against prefixes.
+	Prefixes Prefixes
 	// MaxQueue bounds the waiting calls. 0: eight times the warm limits, at least 64.
 	MaxQueue int
 
@@ -78,15 +80,17 @@
 
 // permit is a slot in use.
 type permit struct {
-	granted     Permit
-	server      *server
-	node        string
-	fingerprint uint64
-	grantedAt   time.Duration
-	holdUntil   time.Duration
-	adopted     bool // granted by a previous lease holder
-	crashed     bool // was in flight at a crash that was already reported
-	released    bool // given up by its node, see keepSlot
+	granted       Permit
+	server        *server
+	node          string
+	fingerprint   uint64
+	prefix        uint64
+	grantedAt     time.Duration
+	holdUntil     time.Duration
+	prefixSuspect bool // the prefix was a suspect when it was granted
+	adopted       bool // granted by a previous lease holder
+	crashed       bool // was in flight at a crash that was already reported
+	released      bool // given up by its node, see keepSlot
 }
 
 // suspectEntry is this limiter's own evidence against a fingerprint. It applies for
@@ -101,6 +105,10 @@
 	Crashed   []uint64 // fingerprints in flight on a server that crashed
 	Exclusive bool     // the call in Crashed was the only one on its server from its start
 	Cleared   uint64   // completed as the only call on its server, 0: none
+
+	Prefix        uint64 // of the exclusive call in Crashed, 0: none
+	PrefixSuspect bool   // that prefix was a suspect when the call was granted
+	Served        uint64 // suspect prefix of a call that completed, 0: none
 }
 
 // lock acquires the mutex and updates the current instant and the authority.
@@ -152,9 +160,7 @@
 		a.Deadline = m
 	}
 	c := &call{request: a, received: h.now, deadline: h.now + a.Deadline}
-	if _, ok := h.suspects[a.Fingerprint]; ok {
-		c.request.Suspect = true
-	}
+	h.judge(c)
 	if r, w := h.admit(c); r != 0 {
 		h.refuse(c, r, w)
 		return h.unlock()
--- a/core/limit/observe.go
+++ b/core/limit/observe.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"bergamotspring/core/member"
 )
 
 // observe updates the state of a server from the result of a call, whose permit is no
@@ -17,6 +19,9 @@
 		if p.granted.Exclusive {
 			e.Cleared = p.fingerprint
 		}
+		if h.Prefixes.state(p.prefix) != member.Cleared {
+			e.Served = p.prefix
+		}
 	case Failed, Silent:
 		s.health.record(response{at: h.now, failed: true})
 		s.ramp.onFailure(h.now)
@@ -81,6 +86,9 @@
 		e.add(o.fingerprint)
 	}
 	e.Exclusive = e.Exclusive && len(e.Crashed) == 1
+	if e.Exclusive {
+		e.Prefix, e.PrefixSuspect = p.prefix, p.prefixSuspect
+	}
 	slices.Sort(e.Crashed)
 	return e
 }
@@ -93,6 +101,7 @@
 // the same crashing request several times.
 func (h *Limiter) recordEvidence(e Evidence) {
 	delete(h.suspects, e.Cleared)
+	h.Prefixes.record(e)
 	if len(e.Crashed) == 0 {
 		return
 	}
--- a/core/limit/queue.go
+++ b/core/limit/queue.go
@@ -16,8 +16,14 @@
 	received time.Duration
 	deadline time.Duration // latest time for the complete response
 	reserved *server       // gets no other calls, so that this suspect can run exclusively
+
+	poison        bool // must not run
+	prefixSuspect bool // the prefix is a suspect
 }
 
+// exclusive reports whether c must run as the only call on its server.
+func (c *call) exclusive() bool { return c.request.Suspect || c.prefixSuspect }
+
 type flowKey struct{ organisation, class string }
 
 // flow holds the waiting calls of one organisation in one class, as a heap by deadline.
--- a/core/limit/server.go
+++ b/core/limit/server.go
@@ -108,7 +108,7 @@
 	if !h.mayGrant() {
 		return nil
 	}
-	if c.request.Suspect {
+	if c.exclusive() {
 		return h.chooseExclusive(c)
 	}
 	if s := h.serversByName[c.request.Preferred]; s != nil && h.hasFreeSlot(s) && !slices.Contains(c.request.Avoid, s.name) {
--- a/core/member/messages.go
+++ b/core/member/messages.go
@@ -29,9 +29,10 @@
 	Records   []lease.Record // records that changed without the table
 }
 
-// SuspectUpdate is a gossiped change of the state of one fingerprint.
+// SuspectUpdate is a gossiped change of the state of one fingerprint, or of one prompt
+// prefix: the hash of organisation and start of the prompt.
 type SuspectUpdate struct {
-	Fingerprint uint64
+	Fingerprint uint64 // or the prefix
 	State       SuspectState
 	Stamp       int64 // Unix milliseconds of the change, at the lease holder that observed it
 }
@@ -44,4 +45,8 @@
 	Cleared   SuspectState = iota // completed while it was the only request on a server
 	Suspected                     // was in flight on a server that crashed
 	Poison                        // crashed a server on which it was the only request
+	// Updates on a prefix carry these: the states above, plus PrefixCleared.
+	PrefixCleared
+	PrefixSuspected
+	PrefixPoison
 )
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -4,7 +4,8 @@
 // With Set, a request that was in flight on a server that crashed is a suspect. It runs
 // exclusively on a server until it succeeds, which clears it, or the server crashes, which
 // marks it as poison: it no longer runs. Crashes shared with other requests, however many,
-// never mark a request as poison. See docs/decisions/005-crash-suspects.md.
+// never mark a request as poison. Prompt prefixes that several requests share are judged likewise:
+// see ObservePrefixCrash. See docs/decisions/005-crash-suspects.md.
 //
 // Counter is for servers on which a request cannot run exclusively: there, poisonThreshold
 // crashed servers mark a request as poison, shared or not.
@@ -48,7 +49,17 @@
 	Max int
 
 	mu      sync.Mutex
-	entries map[uint64]*entry
+	entries map[key]*entry
+}
+
+// key identifies an entry: the fingerprint of a request, or a prefix.
+type key struct {
+	hash   uint64
+	prefix bool
+}
+
+func keyOf(u member.SuspectUpdate) key {
+	return key{u.Fingerprint, u.State >= member.PrefixCleared}
 }
 
 // entry holds the newest stamp of each state in Unix milliseconds, 0: never.
@@ -86,13 +97,14 @@
 	n := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[fingerprint]
+	k := key{fingerprint, false}
+	e := t.entries[k]
 	if e == nil {
 		return member.Cleared
 	}
 	s, at := e.state(n)
 	if s == member.Poison && n-at >= refreshInterval.Milliseconds() {
-		t.set(fingerprint, s, n, n)
+		t.set(k, s, n, n)
 	}
 	return s
 }
@@ -108,12 +120,12 @@
 		s = member.Poison
 	}
 	for _, f := range fingerprints {
-		at := n
-		if e := t.entries[f]; e != nil {
+		k, at := key{f, false}, n
+		if e := t.entries[k]; e != nil {
 			// The clearance may carry the stamp of a lease holder whose clock is ahead.
 			at = max(at, e.stamps[member.Cleared])
 		}
-		t.set(f, s, at, n)
+		t.set(k, s, at, n)
 	}
 }
 
@@ -122,12 +134,13 @@
 	n := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[fingerprint]
+	k := key{fingerprint, false}
+	e := t.entries[k]
 	if e == nil {
 		return
 	}
 	// The crash may carry the stamp of a lease holder whose clock is ahead.
-	t.set(fingerprint, member.Cleared, max(n, e.stamps[member.Suspected]+1), n)
+	t.set(k, member.Cleared, max(n, e.stamps[member.Suspected]+1), n)
 }
 
 // Merge merges the updates of a peer.
@@ -136,21 +149,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, x := range updates {
-		if x.State > member.Poison || x.Stamp <= 0 || x.Stamp <= n-entryTTL.Milliseconds() {
+		if x.State > member.PrefixPoison || x.Stamp <= 0 || x.Stamp <= n-entryTTL.Milliseconds() {
 			continue
 		}
-		t.set(x.Fingerprint, x.State, min(x.Stamp, n+maxSkew.Milliseconds()), n)
+		t.set(keyOf(x), baseState(x.State), min(x.Stamp, n+maxSkew.Milliseconds()), n)
 	}
 }
 
-func (t *Set) set(fingerprint uint64, s member.SuspectState, stamp, now int64) {
-	e := t.entries[fingerprint]
+// baseState returns the state of a fingerprint that an update on a prefix corresponds to.
+func baseState(s member.SuspectState) member.SuspectState { return s % member.PrefixCleared }
+
+func (t *Set) set(k key, s member.SuspectState, stamp, now int64) {
+	e := t.entries[k]
 	if e == nil {
 		if t.entries == nil {
-			t.entries = map[uint64]*entry{}
+			t.entries = map[key]*entry{}
 		}
 		e = &entry{}
-		t.entries[fingerprint] = e
+		t.entries[k] = e
 	}
 	if stamp > e.stamps[s] {
 		e.stamps[s] = stamp
@@ -169,11 +185,11 @@
 func (t *Set) evict(n int, now int64) {
 	o := t.updates(now, func(*entry) bool { return true })
 	slices.SortFunc(o, func(x, y member.SuspectUpdate) int {
-		return cmp.Or(-cmp.Compare(x.State, y.State), -cmp.Compare(x.Stamp, y.Stamp),
+		return cmp.Or(-cmp.Compare(baseState(x.State), baseState(y.State)), -cmp.Compare(x.Stamp, y.Stamp),
 			cmp.Compare(x.Fingerprint, y.Fingerprint))
 	})
 	for _, x := range o[min(n, len(o)):] {
-		delete(t.entries, x.Fingerprint)
+		delete(t.entries, keyOf(x))
 	}
 }
 
@@ -182,9 +198,9 @@
 	n := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for f, e := range t.entries {
+	for k, e := range t.entries {
 		if e.newest() <= n-entryTTL.Milliseconds() {
-			delete(t.entries, f)
+			delete(t.entries, k)
 		}
 	}
 }
@@ -200,7 +216,7 @@
 	})
 	o = o[:min(n, len(o))]
 	for _, x := range o {
-		t.entries[x.Fingerprint].pendingDigests--
+		t.entries[keyOf(x)].pendingDigests--
 	}
 	return o
 }
@@ -217,12 +233,16 @@
 
 func (t *Set) updates(now int64, keep func(*entry) bool) []member.SuspectUpdate {
 	var o []member.SuspectUpdate
-	for f, e := range t.entries {
+	for k, e := range t.entries {
 		if !keep(e) {
 			continue
 		}
 		s, at := e.state(now)
-		o = append(o, member.SuspectUpdate{Fingerprint: f, State: s, Stamp: at})
+		if k.prefix {
+			s, at = e.prefixState(now)
+			s += member.PrefixCleared
+		}
+		o = append(o, member.SuspectUpdate{Fingerprint: k.hash, State: s, Stamp: at})
 	}
 	return o
 }
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -39,7 +39,7 @@
 	requestedAt backend.Mark
 	callID      string
 	retry       bool // a retry or a hedge: charged to the retry budget, sent on a new connection
-	exclusive   bool // requested for a suspect, which runs exclusively
+	exclusive   bool // of a suspect, which runs exclusively
 	queue       time.Duration
 }
 
@@ -83,7 +83,7 @@
 		a := limit.Request{
 			Node: x.s.Node, ID: x.s.ids.Add(1), Group: g, Organisation: x.in.organisation,
 			Class: x.in.class.Name, Deadline: x.remainingFor(st), Fingerprint: x.trace.Fingerprint,
-			Suspect: exclusive, Avoid: avoid,
+			Suspect: exclusive, Prefix: st.prefix, Avoid: avoid,
 		}
 		if x.s.Preferred != nil && st.prefix != 0 {
 			a.Preferred = x.s.Preferred(g, st.prefix)
@@ -91,7 +91,7 @@
 		m, t := x.s.Clock.Mark(), x.s.now()
 		p, err := x.s.Acquire(ctx, a, retry)
 		if err == nil {
-			return &grant{permit: p, requestedAt: m, callID: x.s.nextID(), retry: retry, exclusive: exclusive, queue: x.s.now().Sub(t)}, nil
+			return &grant{permit: p, requestedAt: m, callID: x.s.nextID(), retry: retry, exclusive: exclusive || p.Exclusive, queue: x.s.now().Sub(t)}, nil
 		}
 		x.recordRefusal(st, g, retry, x.s.now().Sub(t), err)
 		c, noHolder := causeOf(err)
--- a/io/node/alarms.go
+++ b/io/node/alarms.go
@@ -157,9 +157,10 @@
 	return l
 }
 
-// raisePoisonAlarm raises the alarm of a request that is refused as poison.
-func (n *Node) raisePoisonAlarm(fingerprint uint64) {
-	n.alarms.raise(operator.AlarmPoison, fmt.Errorf("fingerprint %016x: %w", fingerprint, errPoison))
+// raisePoisonAlarm raises the alarm of a request, or of a prompt prefix, that is refused as
+// poison. What names the kind of the hash.
+func (n *Node) raisePoisonAlarm(what string, hash uint64) {
+	n.alarms.raise(operator.AlarmPoison, fmt.Errorf("%s %016x: %w", what, hash, errPoison))
 }
 
 var errPoison = errors.New("crashed servers and is refused")
--- a/io/node/requests.go
+++ b/io/node/requests.go
@@ -103,8 +103,11 @@
 
 func (n *Node) raisePoisonAlarms(l []member.SuspectUpdate) {
 	for _, x := range l {
-		if x.State == member.Poison {
-			n.raisePoisonAlarm(x.Fingerprint)
+		switch x.State {
+		case member.Poison:
+			n.raisePoisonAlarm("fingerprint", x.Fingerprint)
+		case member.PrefixPoison:
+			n.raisePoisonAlarm("prompt prefix", x.Fingerprint)
 		}
 	}
 }
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -48,7 +48,7 @@
 	return &wire.Ask{
 		Id: int(a.ID), Group: n.group(a.Group), Organisation: n.number(a.Organisation),
 		Class: n.number(a.Class), Deadline: micros(a.Deadline), Fingerprint: int(a.Fingerprint),
-		Suspect: a.Suspect, Want: n.number(a.Preferred), Avoid: each(a.Avoid, n.number),
+		Suspect: a.Suspect, Prefix: int(a.Prefix), Want: n.number(a.Preferred), Avoid: each(a.Avoid, n.number),
 	}
 }
 
@@ -56,7 +56,7 @@
 	return limit.Request{
 		Node: NodeName(from), ID: uint64(a.Id), Group: n.group(a.Group),
 		Organisation: n.name(a.Organisation), Class: n.name(a.Class), Deadline: duration(a.Deadline),
-		Fingerprint: uint64(a.Fingerprint), Suspect: a.Suspect, Preferred: n.name(a.Want),
+		Fingerprint: uint64(a.Fingerprint), Suspect: a.Suspect, Prefix: uint64(a.Prefix), Preferred: n.name(a.Want),
 		Avoid: each(a.Avoid, n.name),
 	}
 }
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -6,7 +6,7 @@
 
 // Protocol is the version that both ends of a link must have. The messages of PlacementHandlers have
 // another one, PlacementProtocol.
-const Protocol = 2
+const Protocol = 3
 
 // Type is the type of a message, as sent.
 type Type uint8
--- a/io/permit/limiters.go
+++ b/io/permit/limiters.go
@@ -71,7 +71,12 @@
 // the calls of earlier lease holders must have ended.
 func (g *Limiters) OnGained(id fleet.GroupID, epoch uint64) {
 	g.init()
-	h := &limit.Limiter{Now: time.Now, Authority: func() (uint64, time.Duration) { return g.Authority(id) }}
+	h := &limit.Limiter{
+		Now: time.Now, Authority: func() (uint64, time.Duration) { return g.Authority(id) },
+		Prefixes: limit.Prefixes{
+			State: g.Suspects.CheckPrefix, OnCrash: g.Suspects.ObservePrefixCrash, OnSuccess: g.Suspects.ObservePrefixSuccess,
+		},
+	}
 	g.mu.Lock()
 	g.limiters[id] = h
 	v, l := g.view, g.leaving
@@ -142,17 +147,19 @@
 // observe records the evidence of a release on requests that crash servers, and passes
 // it on to OnSuspects.
 func (g *Limiters) observe(e limit.Evidence) {
-	if len(e.Crashed) == 0 && e.Cleared == 0 {
-		return
-	}
-	if len(e.Crashed) > 0 {
+	n := len(e.Crashed) // entries that may change
+	if n > 0 {
 		g.Suspects.ObserveCrash(e.Crashed, e.Exclusive)
 	}
 	if e.Cleared != 0 {
 		g.Suspects.ObserveSuccess(e.Cleared)
+		n++
+	}
+	if e.Prefix != 0 || e.Served != 0 {
+		n++ // the limiter has recorded it
 	}
-	if g.OnSuspects != nil {
-		g.OnSuspects(g.Suspects.Updates(max(1, len(e.Crashed))))
+	if n > 0 && g.OnSuspects != nil {
+		g.OnSuspects(g.Suspects.Updates(n))
 	}
 }
 
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -25,6 +25,9 @@
 	// Organisation by number, see Names; 0: empty.
 	Organisation int `msgpack:"organisation"`
 
+	// Hash of organisation and start of the prompt, 0: none.
+	Prefix int `msgpack:"prefix"`
+
 	// Suspect corresponds to the JSON schema field "suspect".
 	Suspect bool `msgpack:"suspect"`
 
@@ -777,7 +780,7 @@
 	Wait int `msgpack:"wait"`
 }
 
-// State of one fingerprint.
+// State of one fingerprint or prompt prefix.
 type Suspect struct {
 	// Fingerprint corresponds to the JSON schema field "fingerprint".
 	Fingerprint int `msgpack:"fingerprint"`
