A server's 408, 429 or 503 without its promise is not passed on for requests that must not run twice

What callers would see: 503 (not run, try again) for a request that its server may have run, as the server answered so without stating that it did not run it.

The caller gets 502, outcome unknown, without Retry-After. Requests that may be repeated get the server's response as before.

TestUnstatedRefusal failed before, in six of its nine cases: got 408, 429 and 503.

--- a/io/edge/nobody_test.go
+++ b/io/edge/nobody_test.go
@@ -41,3 +41,24 @@
 		})
 	}
 }
+
+// A server answers with a status that means "not run" to callers without stating so: callers of requests that must
+// not run twice are told that the outcome is unknown; others get the response.
+func TestUnstatedRefusal(t *testing.T) {
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		for path, unknown := range map[string]bool{"/file/x": true, "/once/x": true, "/draft/x": false} {
+			runFleet(t, func(w *testFleet) {
+				answer := func(x platformstandin.Run) string { return head(x, status, "Content-Length: 0") }
+				w.raw("plain", answer)
+				w.raw("model", answer)
+				r := w.stream("a1", path, "x")
+				if got := r.status == http.StatusBadGateway; got != unknown || r.err != nil {
+					t.Errorf("%s to %s: got %d %v", status, path, r.status, r.err)
+				}
+				if got := r.header.Get("Retry-After"); unknown && got != "" {
+					t.Errorf("%s to %s: got Retry-After %s", status, path, got)
+				}
+			})
+		}
+	}
+}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -205,8 +206,22 @@
 	}
 }
 
-// forward sends a server's response to the caller unchanged.
+// notRunStatuses are those that callers take for a statement that the request did not and will not run.
+var notRunStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// misleads reports whether the status of a response says that the request did not run, which its server
+// did not state, and the caller would send it again although it must not run twice.
+func (q *request) misleads(a *attempt) bool {
+	return !a.notRun && !q.route.Repeatable && !q.route.Resumable && slices.Contains(notRunStatuses, a.response.Status)
+}
+
+// forward sends a server's response to the caller unchanged, unless it misleads.
 func (q *request) forward(a *attempt, t *relay.Server) {
+	if q.misleads(a) {
+		q.mayHaveRun = true
+		q.fail("server did not state that it did not run the request", 0)
+		return
+	}
 	h := q.out.Header()
 	for k, l := range q.server.Protocol.ResponseHeader(a.response.Header) {
 		h[k] = l
