--- /dev/null
+++ b/io/exchange/body.go
@@ -0,0 +1,61 @@
+package exchange
+
+// This file defines the body of a response, at whose end the exchange ends.
+
+import (
+	"context"
+	"io"
+)
+
+// body is a response body that returns the connection to the pool at its end.
+type body struct {
+	io.ReadCloser
+	conn    *conn
+	request *writing
+	stop    func() bool
+	reuse   bool
+	done    bool
+	scan    bodyScan
+}
+
+// Read reads the body. An error other than io.EOF means that it is not complete.
+func (b *body) Read(p []byte) (int, error) {
+	if b.done {
+		return 0, io.EOF
+	}
+	n, err := b.ReadCloser.Read(p)
+	if b.scan.found(p[:n]) {
+		n, err = 0, errJoinedBody
+	}
+	if err == nil {
+		return n, nil
+	}
+	if err == io.EOF {
+		b.end(nil)
+		return n, io.EOF
+	}
+	b.end(err)
+	return n, &BrokenError{Cause: err}
+}
+
+// Close ends the exchange. If the body was not read to its end, the connection is closed
+// too.
+func (b *body) Close() error {
+	if !b.done {
+		b.end(context.Canceled)
+	}
+	return nil
+}
+
+func (b *body) end(err error) {
+	b.done = true
+	active := b.stop()
+	if err == nil && b.conn.in.Buffered() > 0 {
+		b.conn.pool.report(ForeignResponse{Address: b.conn.address})
+	}
+	if err == nil && active && b.reuse && b.request.complete() && b.conn.reusable() {
+		b.conn.pool.put(b.conn)
+		return
+	}
+	b.conn.close()
+}
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -7,7 +7,6 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -17,7 +16,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"time"
 )
 
 const (
@@ -303,107 +301,7 @@
 	return n, err
 }
 
-// body is a response body that returns the connection to the pool at its end.
-type body struct {
-	io.ReadCloser
-	conn    *conn
-	request *writing
-	stop    func() bool
-	reuse   bool
-	done    bool
-	scan    bodyScan
-}
-
-// Read reads the body. An error other than io.EOF means that it is not complete.
-func (b *body) Read(p []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
-	}
-	n, err := b.ReadCloser.Read(p)
-	if b.scan.found(p[:n]) {
-		n, err = 0, errJoinedBody
-	}
-	if err == nil {
-		return n, nil
-	}
-	if err == io.EOF {
-		b.end(nil)
-		return n, io.EOF
-	}
-	b.end(err)
-	return n, &BrokenError{Cause: err}
-}
-
-// Close ends the exchange. If the body was not read to its end, the connection is closed
-// too.
-func (b *body) Close() error {
-	if !b.done {
-		b.end(context.Canceled)
-	}
-	return nil
-}
-
-func (b *body) end(err error) {
-	b.done = true
-	active := b.stop()
-	if err == nil && b.conn.in.Buffered() > 0 {
-		b.conn.pool.report(ForeignResponse{Address: b.conn.address})
-	}
-	if err == nil && active && b.reuse && b.request.complete() && b.conn.reusable() {
-		b.conn.pool.put(b.conn)
-		return
-	}
-	b.conn.close()
-}
-
 func refused(err error) bool {
 	var o *net.OpError
 	return errors.As(err, &o) && isRefused(o.Err)
 }
-
-// conn is a connection to a server.
-type conn struct {
-	net.Conn
-	pool      *Pool
-	address   string
-	in        *bufio.Reader
-	limit     *limitedReader // that in reads from
-	idleSince time.Time
-	tainted   bool   // a response to another request was read from it
-	echo      string // Request.Echo of its requests
-	seen      ids
-}
-
-// isNew adds a mark to the known ones, and returns false if it was known. A connection knows its marks for
-// as long as it is used, the pool those of all connections for some time.
-func (c *conn) isNew(mark string) bool {
-	if c.seen.has(mark) || !c.pool.marks.add(mark, time.Now()) {
-		return false
-	}
-	c.seen.add(mark)
-	return true
-}
-
-// mayCarry reports whether a request may be sent on a connection that was used before: its requests had
-// their ids in the same header, if any, and none had that of r. A copy of an earlier response is then
-// told from that to r.
-func (c *conn) mayCarry(r *Request) bool { return c.echo == r.Echo && !c.seen.has(r.id()) }
-
-// reusable reports whether the connection can be used for another request.
-func (c *conn) reusable() bool {
-	return !c.tainted && c.in.Buffered() == 0 && len(c.seen) < maxIDs
-}
-
-// onForeign takes account of a response that is not that of r: the connection is not used again.
-func (c *conn) onForeign(r *Request, status int) {
-	c.tainted = true
-	c.pool.report(ForeignResponse{Address: c.address, Target: r.Target, Echo: r.id(), Status: status})
-}
-
-// abort closes the connection, so that a read or write in progress fails.
-func (c *conn) abort() { _ = c.Close() } // the user of the connection gets the error
-
-func (c *conn) close() {
-	_ = c.Close() // the connection is not used again
-	c.pool.release(c.address)
-}
