--- a/io/edge/tablewatch.go
+++ b/io/edge/tablewatch.go
@@ -110,7 +110,7 @@
 // onStoreResponse merges what the store sent, all rows or those that changed since a version.
 func (f *tableWatch) onStoreResponse(r store.Result, since uint64) {
 	now := time.Now()
-	f.endOutage(now)
+	f.reached(now)
 	c := replica.Changes{Since: since, Version: r.Sequence, ConfirmedAt: now}
 	for _, x := range r.Rows {
 		if x.Version == 0 {
@@ -157,8 +157,8 @@
 	}
 }
 
-// endOutage reports that the store responded, and logs the end of an outage if there was one.
-func (f *tableWatch) endOutage(now time.Time) {
+// reached reports that the store responded, and logs the end of an outage if there was one.
+func (f *tableWatch) reached(now time.Time) {
 	f.mu.Lock()
 	lost := f.lostSince
 	f.lostSince = time.Time{}
