core/placement: hold-offs cost no clock reads while there are none

Change: the rate of a service comes with the wait for it, and the clock is read only while a hold-off may last.

--- a/core/placement/backlog.go
+++ b/core/placement/backlog.go
@@ -182,7 +182,7 @@
 // can do. A short excess of a little is left to the queues, which order it better.
 func (h *Scheduler) overloaded(j *job, now time.Time) bool {
 	return slices.ContainsFunc(j.stages, func(s *jobStage) bool {
-		rate := h.rate(s.request.Service)
+		rate, _ := h.rate(s.request.Service)
 		if rate == 0 {
 			return false
 		}
@@ -200,32 +200,31 @@
 }
 
 // rate returns how many tasks a second the servers of a service do in full batches, 0 if the
-// service runs no stages.
-func (h *Scheduler) rate(service string) float64 {
+// service runs no stages, and the time until one of them takes batches.
+func (h *Scheduler) rate(service string) (rate float64, wait time.Duration) {
 	v := h.View()
 	if v.Config == nil {
-		return 0
+		return 0, 0
 	}
 	s := v.Config.Services[service]
 	if s == nil || s.Batching == nil {
-		return 0
+		return 0, 0
 	}
 	w := s.Batching
 	full := w.BatchTime + time.Duration(w.MaxBatch)*w.TaskTime
-	n, _ := h.serving(service)
-	return float64(n*w.MaxBatch) / full.Seconds()
+	n, wait := h.serving(service)
+	return float64(n*w.MaxBatch) / full.Seconds(), wait
 }
 
 // backlogTime returns how long the servers of a service take for the backlog that goes before work
 // of a rank, from when one of them takes batches.
 func (h *Scheduler) backlogTime(service string, r rank) time.Duration {
-	rate := h.rate(service)
+	rate, wait := h.rate(service)
 	if rate == 0 {
 		return 0
 	}
 	b := h.backlog(service)
 	n := float64(b.ahead(r))
-	_, wait := h.serving(service)
 	return wait + time.Duration(n/(rate*b.share(r, rate, h.Now()))*float64(time.Second))
 }
 
--- a/core/placement/estimate.go
+++ b/core/placement/estimate.go
@@ -49,11 +49,11 @@
 // queueTime returns how long the servers of a service take for the queued tasks that are
 // at least as urgent as a priority, from when one of them takes batches.
 func (h *Scheduler) queueTime(service string, priority int) time.Duration {
-	rate, q := h.rate(service), h.pools[service]
+	rate, wait := h.rate(service)
+	q := h.pools[service]
 	if rate == 0 || q == nil {
 		return 0
 	}
-	_, wait := h.serving(service)
 	return wait + time.Duration(float64(q.queue.ahead(priority))/rate*float64(time.Second))
 }
 
--- a/core/placement/holdoff.go
+++ b/core/placement/holdoff.go
@@ -33,8 +33,13 @@
 // least 1. If all do, it returns the number of all and the time until the first does not.
 func (h *Scheduler) serving(service string) (servers int, wait time.Duration) {
 	q := h.pool(service)
-	now, all := h.Now(), h.nearestStageServers(q)
+	all := h.nearestStageServers(q)
+	if q.heldUntil.IsZero() {
+		return max(1, len(all)), 0
+	}
+	now := h.Now()
 	if !now.Before(q.heldUntil) {
+		q.heldUntil = time.Time{}
 		return max(1, len(all)), 0
 	}
 	for _, m := range all {
