core/placement: the late end of a batch of an ended process says nothing of the next one

A batch is in progress while its stage server starts again under its id. The new process gets batches and stores results. Then the old batch ends because no process listened for a moment, or with 421: the scheduler took that for the end of the process that runs now, and put an empty state in place of its state. Results on the dropped state were no longer known to be lost when the server started once more: the next stage or the model server was given handles of a process that had ended, which do not exist or, if a process counts anew, belong to others. The results were never released either, and the new state allowed as many batches and bytes again as the server has.

The end of a batch whose process is known to have ended no longer changes what is known of its server; its tasks are queued again as before. Releases and capacity queries had that check already.

TestLateEndOfBatchOfEndedProcess failed before (second stage sent with [encodea:1/1 encodea:1/2] after the second restart) and passes. That handles repeat after a restart has not been seen.

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -47,9 +47,13 @@
 
 // observeBatch updates a server's time ratio and backoff from the end of a batch. If the
 // server's process has ended, its results are given up and their tasks queued again; if there
-// was no usable response, a capacity query shows whether it has.
+// was no usable response, a capacity query shows whether it has. A batch of a process that is known to
+// have ended shows nothing about the next one.
 func (h *Scheduler) observeBatch(c *batch, status BatchStatus) {
 	now, m := h.Now(), c.stageServer
+	if m.lost {
+		return
+	}
 	switch status {
 	case BatchDone:
 		m.backoff = 0
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -137,3 +137,24 @@
 	b.completeOn("encode-a")
 	b.wantInputs("the first request's second grant", b.decisions[2].Inputs, 2, b.decisions[1].Inputs...)
 }
+
+// A batch ends after its server restarted, as the process that had it refuses connections: the results of the next
+// process stay known, and are lost with it.
+func TestLateEndOfBatchOfEndedProcess(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "rank-a", "model-a")
+	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
+	b.submit("1", 1, 1000, nil)
+	late := b.batches[1]
+	b.batches = b.batches[:1]
+	b.restart("encode-a")
+	b.submit("2", 2, mebibyte, twoStages)
+	b.completeOn("encode-a")
+	b.scheduler.OnBatch(late.Number, BatchRefused, nil)
+	b.collect()
+	b.restart("encode-a")
+	b.completeOn("rank-a")
+	b.completeOn("encode-a") // request 1
+	b.completeOn("encode-a")
+	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/1", "encodea:1/2")
+}
