Streams that may not be resumed begin with any id, whatever Last-Event-Id their caller sent

Callers of a streaming route without resumption that sent Last-Event-Id, as clients of event streams do by themselves when they connect again, got 502 in place of a whole stream that a server had made. Since the ids of a stream's events have to follow the one that the caller names; a server that does not resume begins with 1, so its first event counted as one that comes twice.

The caller's id counts only on routes whose streams may be resumed; on others it is a header like any other, sent on as before.

--- a/io/edge/joinedstreams_test.go
+++ b/io/edge/joinedstreams_test.go
@@ -87,11 +87,16 @@
 // that goes on.
 func TestServerIgnoresLastEvent(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		w.raw("model", func(x platformstandin.Run) string { return head(x, "200 OK", eventStream) + fullStream(6) })
+		ignores := func(x platformstandin.Run) string { return head(x, "200 OK", eventStream) + fullStream(6) }
+		w.raw("model", ignores)
 		r := w.stream("a1", "/draft/x", "again", "Last-Event-Id", "4")
 		if want := strings.TrimPrefix(fullStream(6), fullStream(4)); r.status != 200 || r.err != nil || r.body != want {
 			t.Errorf("got %d %v %q, want the events after the fourth", r.status, r.err, r.body)
 		}
+		w.raw("model", ignores)
+		if r := w.stream("a1", "/once/x", "whole", "Last-Event-Id", "4"); r.status != 200 || r.err != nil || r.body != fullStream(6) {
+			t.Errorf("not resumable: got %d %v %q, want the whole stream", r.status, r.err, r.body)
+		}
 	})
 }
 
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -44,11 +44,13 @@
 	stallTimer *time.Timer // cancels a stalled attempt; nil if it cannot be resumed elsewhere
 }
 
-// newStream returns the stream of a request, which may go on after an event that its caller has. Whether ids skip
-// numbers is not known then.
+// newStream returns the stream of a request. On a route whose streams may be resumed, it goes on after the event that
+// its caller has. Whether ids skip numbers is not known then.
 func newStream(q *request) *stream {
-	resumed := q.route.Resumable && q.meta.LastEvent != ""
-	return &stream{request: q, order: eventOrder{last: q.meta.LastEvent, skips: resumed}, started: resumed}
+	if !q.route.Resumable || q.meta.LastEvent == "" {
+		return &stream{request: q}
+	}
+	return &stream{request: q, order: eventOrder{last: q.meta.LastEvent, skips: true}, started: true}
 }
 
 // copy forwards events until the response is complete. Only whole events are forwarded; if
