core/placement: results that are lost while their request moves are not made again by the old coordinator

A coordinator that stops waits for the batch of a request, to pass it on with its results. A stage server starts again meanwhile: the results that it had were queued again and run at once, so the request moved only after another batch, and tasks that were still queued then ran for nothing, as the next coordinator runs them too.

Tasks of requests that move are not queued again; the next coordinator queues what has no result.

TestHandOverOfLostResults failed before (2 batches in progress, no request that moved) and passes.

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -173,11 +173,16 @@
 	return fresh
 }
 
+// requeueLost drops the results of a stage at a server, and queues their tasks again unless the next
+// coordinator will.
 func (h *Scheduler) requeueLost(q *stagePool, s *jobStage, m *stageServer) {
 	for _, p := range s.tasks {
-		if p.stageServer == m && p.handle != "" {
-			p.handle, p.stageServer = "", nil
-			s.remaining++
+		if p.stageServer != m || p.handle == "" {
+			continue
+		}
+		p.handle, p.stageServer = "", nil
+		s.remaining++
+		if !p.job.handingOver {
 			q.queue.push(p)
 		}
 	}
--- a/core/placement/handover_test.go
+++ b/core/placement/handover_test.go
@@ -173,3 +173,20 @@
 	b.want("tasks that are run", len(b.completeBatch().Tasks), 2)
 	b.want("decisions", len(b.decisions), 1)
 }
+
+// A server loses its results while their request moves: the scheduler that stops does not make them again.
+func TestHandOverOfLostResults(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "model-a")
+	b.submit("1", 12, mebibyte, nil)
+	b.completeBatch()
+	b.scheduler.HandOver()
+	b.restart("encode-a")
+	b.want("batches in progress", len(b.batches), 1)
+	b.endBatch(make([]TaskResult, 4))
+	b.advance(time.Second)
+	b.want("later batches", len(b.batches), 0)
+	if len(b.decisions) != 1 || b.decisions[0].Reason != ReasonMoved || b.decisions[0].ResultCount() != 0 {
+		t.Errorf("got %+v, want a request that moves without results", b.decisions)
+	}
+}
