core/placement: a server with results of no size is remembered while its entry is gone

As in, for stages whose configuration gives results the size 0 or none: the state of their server is kept for the bytes that are reserved, so it was dropped with the entry.

The state is kept as long as a request uses a result of the server, too. TestServerReturnsWithNewProcess, now also with results of no size, failed before (the second stage sent with the old handles, no batch on encode-a) and passes.

--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -108,21 +108,24 @@
 	b.wantInputs("the grant", b.decisions[0].Inputs, 2, "encodea:1/1", "encodea:1/2")
 }
 
-// The entry of a server with results vanishes, and returns with a new process: the results are made again.
+// The entry of a server with results, of some size or none, vanishes, and returns with a new process: the results are
+// made again.
 func TestServerReturnsWithNewProcess(t *testing.T) {
-	b := newHarness(t)
-	b.keepServers("encode-a", "rank-a", "model-a")
-	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
-	b.submit("1", 2, mebibyte, twoStages)
-	b.completeOn("encode-a")
-	all := slices.Clone(b.servers)
-	b.keepServers("rank-a", "model-a")
-	b.advance(25 * time.Millisecond)
-	b.servers = all
-	b.restart("encode-a")
-	b.completeOn("rank-a")
-	b.want("stage that runs", b.completeOn("encode-a").Stage, 0)
-	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/2", "encodea:1/1")
+	for _, bytes := range []int64{mebibyte, 0} {
+		b := newHarness(t)
+		b.keepServers("encode-a", "rank-a", "model-a")
+		b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
+		b.submit("1", 2, bytes, twoStages)
+		b.completeOn("encode-a")
+		all := slices.Clone(b.servers)
+		b.keepServers("rank-a", "model-a")
+		b.advance(25 * time.Millisecond)
+		b.servers = all
+		b.restart("encode-a")
+		b.completeOn("rank-a")
+		b.want("stage that runs", b.completeOn("encode-a").Stage, 0)
+		b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/2", "encodea:1/1")
+	}
 }
 
 // Two requests in progress have the same id, against the rules: none is granted with the results of the other.
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -121,7 +121,7 @@
 	for _, q := range h.pools {
 		for id, m := range q.stageServers {
 			m.unregistered = !known[id]
-			if m.unregistered && m.batches == 0 && m.reserved == 0 {
+			if m.unregistered && m.batches == 0 && m.reserved == 0 && !h.usesResults(m) {
 				delete(q.stageServers, id)
 				q.nearestView = nil
 			}
@@ -129,6 +129,18 @@
 	}
 }
 
+// usesResults reports whether a job uses a result at a server; results may take no bytes.
+func (h *Scheduler) usesResults(m *stageServer) bool {
+	for _, j := range h.jobs {
+		for _, s := range j.stages {
+			if !s.released && slices.ContainsFunc(s.tasks, func(p *task) bool { return p.stageServer == m }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // slowness returns the server's time ratio, or 1 if it has not been measured.
 func (m *stageServer) slowness() float64 {
 	if m.timeRatio == 0 {
