Results count at the next coordinator only if the process that holds them still runs

A coordinator stops or crashes, and a stage server starts again under its id before the next coordinator has taken the requests over, as when a whole failure domain restarts. The progress that nodes carry named the server, not its process: the next coordinator took the handles of the ended process for stored ones, and reserved room for them at the new one. Stages and model servers were given handles that do not exist or, if a process counts anew, belong to others.

TestAdoptAfterRestart failed before (4 of 12 tasks ran first, the others were taken for done) and passes. That handles repeat after a restart has not been seen.

--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -57,7 +57,7 @@
 		m := StageProgress{Stage: s.index, Released: s.released}
 		for _, p := range s.tasks {
 			if p.handle != "" && !s.released {
-				m.Results = append(m.Results, StoredResult{Index: p.index, Server: p.stageServer.server.ID, Handle: p.handle})
+				m.Results = append(m.Results, p.stored())
 			}
 		}
 		if m.Released || len(m.Results) > 0 {
@@ -67,6 +67,12 @@
 	return l
 }
 
+// stored returns the result of a task that has one.
+func (p *task) stored() StoredResult {
+	s := p.stageServer.server
+	return StoredResult{Index: p.index, Server: s.ID, StartedAt: s.StartedAt, Handle: p.handle}
+}
+
 // reportProgress reports the progress of the jobs of a batch that ended and that still wait.
 func (h *Scheduler) reportProgress(b *batch) {
 	reported := map[*job]bool{}
@@ -145,8 +151,9 @@
 		for n := range s.request.Tasks {
 			p := &task{job: j, stage: s, index: n, queuedAt: h.Now()}
 			s.tasks = append(s.tasks, p)
-			if w := q.stageServers[stored[n].Server]; w != nil {
-				p.stageServer, p.handle = w, stored[n].Handle
+			r := stored[n]
+			if w := q.stageServers[r.Server]; w != nil && w.server.StartedAt == r.StartedAt {
+				p.stageServer, p.handle = w, r.Handle
 				w.addStored(s.request.ResultBytes, h.Now())
 				s.remaining--
 				continue
--- a/core/placement/handover_test.go
+++ b/core/placement/handover_test.go
@@ -190,3 +190,18 @@
 		t.Errorf("got %+v, want a request that moves without results", b.decisions)
 	}
 }
+
+// A server with results of a request starts again before the next coordinator takes the request over: the results
+// are made again.
+func TestAdoptAfterRestart(t *testing.T) {
+	old, next := newHarness(t), newHarness(t)
+	for _, b := range []*harness{old, next} {
+		b.keepServers("encode-a", "rank-a", "model-a")
+	}
+	old.submit("1", 12, mebibyte, nil)
+	made := old.completeBatch()
+	a := handOver(t, old, TaskError)
+	next.restart("encode-a")
+	next.submit("1", 12, mebibyte, func(x *Request) { x.Progress = a.Progress })
+	next.want("first tasks that run again", len(next.completeBatch().Tasks), len(made.Tasks))
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -55,9 +55,10 @@
 
 // StoredResult is a result that exists on a stage server.
 type StoredResult struct {
-	Index  int
-	Server string // ID
-	Handle string
+	Index     int
+	Server    string // ID
+	StartedAt int64  // of the process that holds it, as in relay.Process
+	Handle    string
 }
 
 // ServerBytes is the size of results at a stage server.
--- a/io/peer/placement.go
+++ b/io/peer/placement.go
@@ -144,13 +144,13 @@
 
 func wireStageProgress(m placement.StageProgress) wire.PlaceMade {
 	return wire.PlaceMade{Stage: m.Stage, Released: m.Released, Pieces: each(m.Results, func(p placement.StoredResult) wire.PlaceMadePiece {
-		return wire.PlaceMadePiece{Index: p.Index, Server: p.Server, Handle: p.Handle}
+		return wire.PlaceMadePiece{Index: p.Index, Server: p.Server, Started: int(p.StartedAt), Handle: p.Handle}
 	})}
 }
 
 func stageProgressOf(w wire.PlaceMade) placement.StageProgress {
 	return placement.StageProgress{Stage: w.Stage, Released: w.Released, Results: each(w.Pieces, func(p wire.PlaceMadePiece) placement.StoredResult {
-		return placement.StoredResult{Index: p.Index, Server: p.Server, Handle: p.Handle}
+		return placement.StoredResult{Index: p.Index, Server: p.Server, StartedAt: int64(p.Started), Handle: p.Handle}
 	})}
 }
 
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -610,6 +610,9 @@
 
 	// Server corresponds to the JSON schema field "server".
 	Server string `msgpack:"server"`
+
+	// Start of the server's process in Unix milliseconds, 0: unknown.
+	Started int `msgpack:"started"`
 }
 
 // Reports the progress of a granted request to the region coordinator, or
