core/placement: a request whose stages lack their inputs is refused, not run

A stage that has inputs of another stage left is run with those.

TestStageWithoutInputs failed before (a batch, no decision) and passes.

--- a/core/placement/job.go
+++ b/core/placement/job.go
@@ -92,6 +92,15 @@
 	return l
 }
 
+// lacksInputs reports whether the caller left out all stages whose results another one uses.
+func (a *Request) lacksInputs() bool {
+	return slices.ContainsFunc(a.Stages, func(s StageRequest) bool {
+		return s.Tasks > 0 && len(s.After) > 0 && !slices.ContainsFunc(s.After, func(n int) bool {
+			return n >= 0 && n < len(a.Stages) && a.Stages[n].Tasks > 0
+		})
+	})
+}
+
 // sameResults reports whether the stages of two requests with the same ID have the same results.
 func (a *Request) sameResults(b *Request) bool {
 	return a.InputKey == b.InputKey && slices.EqualFunc(a.Stages, b.Stages, func(s, t StageRequest) bool {
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -161,3 +161,13 @@
 	b.completeOn("encode-a")
 	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/1", "encodea:1/2")
 }
+
+// A caller leaves out the stage whose results the next one uses: no task runs without inputs.
+func TestStageWithoutInputs(t *testing.T) {
+	b := newHarness(t)
+	b.submit("1", 0, mebibyte, twoStages)
+	b.want("batches", len(b.batches), 0)
+	if len(b.decisions) != 1 || b.decisions[0].Reason != ReasonNoInputs {
+		t.Errorf("got %+v, want a refusal", b.decisions)
+	}
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -121,6 +121,7 @@
 	ReasonBusy     = "the goal would be missed here"
 	ReasonNoServer = "no usable server"
 	ReasonFailed   = "a stage failed repeatedly"
+	ReasonNoInputs = "a stage has no inputs"
 	ReasonMoved    = "another node is home now"
 )
 
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -71,6 +71,10 @@
 	}
 	h.forget(a.ID)
 	j := &job{request: a, arrived: now, goal: now.Add(a.Goal), deadline: now.Add(a.Remaining), rank: rank{priority: a.Priority}}
+	if a.lacksInputs() {
+		h.refuse(j, ReasonNoInputs, 0)
+		return
+	}
 	if h.fairness.starved(a.fairnessKeys()) {
 		j.rank.priority = starvedPriority
 	}
