io/peer: a link whose peer reads what is queued stays open

The deadline of writes was set once, when the writer woke up, for all that was queued then and later: a queue that stayed filled for 1.5 s, as on a slow link that many tables cross, closed a working link, and the requests on it failed.

Each 64 KiB, or all control messages that are queued, now have 1.5 s.

TestSlowReader (64 KiB each 0.15 s) failed before (message 10: EOF, write pipe: i/o timeout) and passes.

--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -14,7 +14,7 @@
 const (
 	maxQueueBytes  = 8 << 20 // twice DefaultMaxFrame, so that one largest frame leaves space for others
 	maxQueueFrames = 8192
-	writeTimeout   = 1500 * time.Millisecond // for all messages written after one wake-up
+	writeTimeout   = 1500 * time.Millisecond // for chunkBytes, or all control messages that are queued
 	chunkBytes     = 64 << 10                // bytes of other messages after which control messages are looked for again
 	bufferBytes    = 16 << 10                // each of the reader and the writer of a connection
 )
@@ -112,13 +112,14 @@
 			return
 		case <-c.wake:
 		}
-		_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout)) // a failure shows in the writes
 		for l = c.dequeue(l[:0]); len(l) > 0; l = c.dequeue(l[:0]) {
+			c.limitWrites()
 			if err := c.writeAll(w, l); err != nil {
 				c.close(err)
 				return
 			}
 		}
+		c.limitWrites()
 		if err := w.Flush(); err != nil {
 			c.close(err)
 			return
@@ -126,6 +127,11 @@
 	}
 }
 
+// limitWrites gives the next writes their time.
+func (c *conn) limitWrites() {
+	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout)) // a failure shows in the writes
+}
+
 func (c *conn) writeAll(w *bufio.Writer, l []*buffer) error {
 	for _, b := range l {
 		n, err := w.Write(b.Bytes())
--- a/io/peer/frame_test.go
+++ b/io/peer/frame_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"errors"
+	"io"
+	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"bergamotspring/schema/wire"
 )
@@ -85,6 +89,30 @@
 	}
 }
 
+// Guards against a link that is closed though its peer reads, slowly, what is queued.
+func TestSlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		c := newConn(near, newReader(near), &counters{})
+		for range 40 {
+			b := buffers.Get().(*buffer)
+			b.Reset()
+			b.Write(make([]byte, chunkBytes))
+			if err := c.enqueue(TypeMirror, b); err != nil {
+				t.Fatal(err)
+			}
+		}
+		go c.write()
+		for i := range 40 {
+			if _, err := io.ReadFull(far, make([]byte, chunkBytes)); err != nil {
+				t.Fatalf("message %d: %v, %v", i, err, c.reason())
+			}
+			time.Sleep(writeTimeout / 10)
+		}
+		c.close(ErrClosed)
+	})
+}
+
 // Guards against a type of message that encode accepts and parse rejects.
 func TestTypes(t *testing.T) {
 	l := bodies()
