--- a/io/peer/placement_test.go
+++ b/io/peer/placement_test.go
@@ -15,7 +15,7 @@
 	a := placement.Request{
 		ID: "r", Attempt: 2, Service: "model", InputKey: "k", Segments: []placement.PromptSegment{{Hash: 1<<63 + 5, Tokens: 9}}, Tokens: 7, Priority: 1,
 		Goal: -time.Second, Remaining: time.Second, Regions: []string{"x"}, Avoid: []string{"s"}, Retry: true, InputLost: true,
-		Stages: []placement.StageRequest{{Service: "e", After: []int{0}, ResultBytes: 5, Tasks: 3}},
+		Stages:   []placement.StageRequest{{Service: "e", After: []int{0}, ResultBytes: 5, Tasks: 3}},
 		Progress: []placement.StageProgress{{Stage: 1, Released: true, Results: []placement.StoredResult{{Index: 2, Server: "s", StartedAt: 3, Handle: "h"}}}},
 	}
 	var wa wire.PlaceAsk
