io/peer: a response that is too large fails its request only

A response above the limit of a message was sent, and the dialler closed the link for it, with all requests that waited there: after the next one the same again.

The acceptor checks the size as the dialler does, and answers with a fault.

TestOversizedResponse failed before (link to b:1: frame exceeds the limit) and passes.

--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -21,9 +21,10 @@
 
 // conn is one open connection of either side.
 type conn struct {
-	net   net.Conn
-	in    *bufio.Reader
-	stats *counters
+	net      net.Conn
+	in       *bufio.Reader
+	maxFrame int // limit of the bytes of a message to be sent; 0: the sender checks
+	stats    *counters
 
 	lastReceived atomic.Int64 // Unix nanoseconds of the last frame received
 	peerNames    names        // in the peer's messages; only the reader changes it
@@ -55,6 +56,10 @@
 
 // enqueue queues a frame. The frame is not sent if it returns an error.
 func (c *conn) enqueue(t Type, b *buffer) error {
+	if n := b.Len() - headerBytes; c.maxFrame > 0 && n > c.maxFrame {
+		b.free()
+		return &OversizedError{Size: n, Limit: c.maxFrame}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cause != nil {
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -166,6 +166,18 @@
 	})
 }
 
+// Guards against a response above the limit that closes the link, with the requests that wait on it.
+func TestOversizedResponse(t *testing.T) {
+	large := func(fleet.GroupID) limit.HeldReport { return limit.HeldReport{Node: strings.Repeat("x", 2000)} }
+	withPair(t, Handlers{Held: large}, func(c pairCase) {
+		c.a.MaxFrame, c.b.MaxFrame = 1000, 1000
+		_, err := c.a.FetchHeld(c.Context(), c.to, fleet.GroupID{Pool: "p"})
+		if _, refused := errors.AsType[*RemoteError](err); !refused {
+			c.Errorf("got %v, want a refusal", err)
+		}
+	})
+}
+
 // Guards against links that stay open without use, and against pings on them.
 func TestIdleLink(t *testing.T) {
 	withPair(t, Handlers{Held: held}, func(c pairCase) {
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -42,12 +42,17 @@
 func (r *Request) ExpectsReply() bool { return r.seq != 0 }
 
 // Reply responds to the request. It may be called after the handler returned, once, from
-// any goroutine. An error means that the response was not queued.
+// any goroutine. An error means that the response was not queued; one that is too large is replaced
+// by a fault.
 func (r *Request) Reply(t Type, body any) error {
 	if r.seq == 0 {
 		return nil
 	}
-	return r.conn.send(t, r.seq, body)
+	err := r.conn.send(t, r.seq, body)
+	if _, ok := errors.AsType[*OversizedError](err); ok {
+		r.Fail(CodeRefused, err.Error())
+	}
+	return err
 }
 
 // SendProgress sends a message about the request before its response; it may be lost without an error.
@@ -171,6 +176,7 @@
 		n = tls.Server(n, m.AcceptTLS)
 	}
 	c := newConn(n, newReader(n), &m.stats)
+	c.maxFrame = m.maxFrame()
 	h, err := m.acceptHello(n, c.in)
 	if err != nil || !m.server.register(raw, c) {
 		m.stats.bad(err)
