io/exchange: 1xx responses do not count as responses to other requests

Callers got 502, or another server was asked, if a server sent four 1xx responses before its answer, such as 102 while it works: they counted against the bound of 3 responses to other requests.

Up to 100 1xx responses are skipped before each other response; their bytes are bounded as before.

TestResponsesBeforeTheDueOne with 20 of them failed before (broken exchange) and passes; TestEndlessBytes holds.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// maxSkipped bounds the responses that are skipped before the expected one: responses to
-	// other requests and 1xx responses.
+	// maxSkipped bounds the responses to other requests that are skipped before the expected one, and
+	// maxInterim the 1xx responses before each.
 	maxSkipped = 3
+	maxInterim = 100
 	// maxHead bounds the bytes of a status line and header, and maxForeignBody those of the
 	// body of a response to another request, with its framing. A faulty server may send either
 	// without end.
@@ -90,6 +91,7 @@
 
 var (
 	errForeignResponse = errors.New("answer belongs to another request")
+	errInterim         = errors.New("too many 1xx responses")
 	errTooLarge        = errors.New("response too large")
 	errStatus          = errors.New("status below 100")
 	errJoinedBody      = errors.New("body goes over into another response")
@@ -231,13 +233,10 @@
 // readResponse reads the header of the response to r and skips responses to other requests.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
 	for range maxSkipped + 1 {
-		a, err := c.readHead()
+		a, err := c.readFinalHead()
 		if err != nil {
 			return nil, err
 		}
-		if a.StatusCode >= 100 && a.StatusCode < 200 {
-			continue
-		}
 		if r.Echo == "" || r.isNamed(a.Header) {
 			if r.Method == http.MethodHead {
 				a.Body = http.NoBody
@@ -255,6 +254,17 @@
 	return nil, errForeignResponse
 }
 
+// readFinalHead reads one response up to its body, after any 1xx responses.
+func (c *conn) readFinalHead() (*http.Response, error) {
+	for range maxInterim + 1 {
+		a, err := c.readHead()
+		if err != nil || a.StatusCode >= http.StatusOK {
+			return a, err
+		}
+	}
+	return nil, errInterim
+}
+
 // readHead reads one response up to its body. It counts on a body also if the request that waits is a HEAD, as
 // a response before the due one may have one.
 func (c *conn) readHead() (*http.Response, error) {
