io/edge: a superseded attempt to place a request does not stay in memory

A node that lost its link to a coordinator asks the next one; if a later attempt of the request came to the first coordinator again, the entry of the earlier attempt stayed in scheduler.waiting for the life of the process, with the connection that it answers on.

A later attempt takes the place of the earlier ones, whose node does not wait for them.

TestSupersededAttempt failed before (1 still waiting) and passes.

--- a/io/edge/repeated_test.go
+++ b/io/edge/repeated_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"bergamotspring/core/placement"
 	platformstandin "bergamotspring/platform/standin"
 )
 
@@ -109,3 +110,27 @@
 		}
 	})
 }
+
+// A later attempt of a request takes the place of one that still waits, whose node no longer does.
+func TestSupersededAttempt(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		time.Sleep(time.Second)
+		h := &w.nodes["a1"].node.scheduler
+		decided := make(chan int, 2)
+		for n := range 2 {
+			h.submit(placement.Request{
+				ID: "x", Attempt: n, Service: "model", InputKey: "k", Goal: 2 * time.Second, Remaining: 4 * time.Second,
+				Stages: []placement.StageRequest{{Service: "encode", ResultBytes: 1, Tasks: 1}},
+			}, waiter{deliver: func(placement.Decision) { decided <- n }})
+		}
+		if got := <-decided; got != 1 {
+			t.Errorf("got a decision on attempt %d, want the later one", got)
+		}
+		time.Sleep(time.Second)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if len(h.waiting)+len(decided) != 0 {
+			t.Errorf("got %d still waiting and %d more decisions, want none", len(h.waiting), len(decided))
+		}
+	})
+}
--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -124,6 +124,9 @@
 		if h.waiting == nil {
 			h.waiting = map[attemptKey]waiter{}
 		}
+		for n := range a.Attempt {
+			delete(h.waiting, attemptKey{a.ID, n})
+		}
 		h.waiting[attemptKey{a.ID, a.Attempt}] = x
 		p.Submit(a)
 	})
