core/placement: a request is granted again only where it may run itself

A retry has the service and the regions of the request that was granted; any other takes its place and is placed anew.

TestRepeatedID failed before (service rank in place of model) and passes.

--- a/core/placement/job.go
+++ b/core/placement/job.go
@@ -101,11 +101,13 @@
 	})
 }
 
-// sameResults reports whether the stages of two requests with the same ID have the same results.
-func (a *Request) sameResults(b *Request) bool {
-	return a.InputKey == b.InputKey && slices.EqualFunc(a.Stages, b.Stages, func(s, t StageRequest) bool {
-		return s.Service == t.Service && s.Tasks == t.Tasks && slices.Equal(s.After, t.After)
-	})
+// isRetriedBy reports whether b may be a retry of a, which has the same ID: its stages have the same results, and the
+// same servers may run it.
+func (a *Request) isRetriedBy(b *Request) bool {
+	return a.Service == b.Service && slices.Equal(a.Regions, b.Regions) && a.InputKey == b.InputKey &&
+		slices.EqualFunc(a.Stages, b.Stages, func(s, t StageRequest) bool {
+			return s.Service == t.Service && s.Tasks == t.Tasks && slices.Equal(s.After, t.After)
+		})
 }
 
 // lost reports whether the process that holds one of the results has ended.
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -128,7 +128,8 @@
 	}
 }
 
-// Two requests in progress have the same id, against the rules: none is granted with the results of the other.
+// Two requests in progress have the same id, against the rules: none is granted with the results of the other, or
+// where only the other may run.
 func TestRepeatedID(t *testing.T) {
 	b := newHarness(t)
 	b.keepServers("encode-a", "model-a", "model-b")
@@ -139,6 +140,13 @@
 	b.submit("1", 2, mebibyte, func(a *Request) { a.Attempt, a.Retry = 1, true })
 	b.completeOn("encode-a")
 	b.wantInputs("the first request's second grant", b.decisions[2].Inputs, 2, b.decisions[1].Inputs...)
+
+	b = newHarness(t)
+	b.keepServers("rank-a", "model-a", "model-b")
+	b.submit("1", 0, 0, nil)
+	b.submit("1", 0, 0, func(a *Request) { a.Service = "rank" })
+	b.submit("1", 0, 0, func(a *Request) { a.Attempt, a.Retry = 1, true })
+	b.want("service of the first request's second grant", b.decisions[2].Server.Service, "model")
 }
 
 // A batch ends after its server restarted, as the process that had it refuses connections: the results of the next
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -123,7 +123,7 @@
 // results, and reports whether the job and its results still exist.
 func (h *Scheduler) regrant(a Request) bool {
 	j := h.jobs[a.ID]
-	if j == nil || j.granted == nil || !j.request.sameResults(&a) {
+	if j == nil || j.granted == nil || !j.request.isRetriedBy(&a) {
 		return false
 	}
 	for _, s := range j.stages {
