--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -149,6 +149,19 @@
 	b.want("service of the first request's second grant", b.decisions[2].Server.Service, "model")
 }
 
+// A report on the run of one of two requests with the same id does not end the other, which still waits.
+func TestReportOfRepeatedID(t *testing.T) {
+	for _, e := range []RunStatus{RunStarted, RunDone} {
+		b := newHarness(t)
+		b.keepServers("encode-a", "model-a")
+		b.submit("1", 0, 0, nil)
+		b.submit("1", 2, mebibyte, nil)
+		b.scheduler.OnReport(Report{ID: "1", Server: b.decisions[0].Server.ID, Status: e})
+		b.completeOn("encode-a")
+		b.want("decisions", len(b.decisions), 2)
+	}
+}
+
 // A batch ends after its server restarted, as the process that had it refuses connections: the results of the next
 // process stay known, and are lost with it.
 func TestLateEndOfBatchOfEndedProcess(t *testing.T) {
