--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -47,9 +47,13 @@
 
 // observeBatch updates a server's time ratio and backoff from the end of a batch. If the
 // server's process has ended, its results are given up and their tasks queued again; if there
-// was no usable response, a capacity query shows whether it has.
+// was no usable response, a capacity query shows whether it has. A batch of a process that is known to
+// have ended shows nothing about the next one.
 func (h *Scheduler) observeBatch(c *batch, status BatchStatus) {
 	now, m := h.Now(), c.stageServer
+	if m.lost {
+		return
+	}
 	switch status {
 	case BatchDone:
 		m.backoff = 0
@@ -169,11 +173,16 @@
 	return fresh
 }
 
+// requeueLost drops the results of a stage at a server, and queues their tasks again unless the next
+// coordinator will.
 func (h *Scheduler) requeueLost(q *stagePool, s *jobStage, m *stageServer) {
 	for _, p := range s.tasks {
-		if p.stageServer == m && p.handle != "" {
-			p.handle, p.stageServer = "", nil
-			s.remaining++
+		if p.stageServer != m || p.handle == "" {
+			continue
+		}
+		p.handle, p.stageServer = "", nil
+		s.remaining++
+		if !p.job.handingOver {
 			q.queue.push(p)
 		}
 	}
--- a/core/placement/job.go
+++ b/core/placement/job.go
@@ -92,13 +92,24 @@
 	return l
 }
 
-// sameResults reports whether the stages of two requests with the same ID have the same results.
-func (a *Request) sameResults(b *Request) bool {
-	return a.InputKey == b.InputKey && slices.EqualFunc(a.Stages, b.Stages, func(s, t StageRequest) bool {
-		return s.Service == t.Service && s.Tasks == t.Tasks && slices.Equal(s.After, t.After)
+// lacksInputs reports whether the caller left out all stages whose results another one uses.
+func (a *Request) lacksInputs() bool {
+	return slices.ContainsFunc(a.Stages, func(s StageRequest) bool {
+		return s.Tasks > 0 && len(s.After) > 0 && !slices.ContainsFunc(s.After, func(n int) bool {
+			return n >= 0 && n < len(a.Stages) && a.Stages[n].Tasks > 0
+		})
 	})
 }
 
+// isRetriedBy reports whether b may be a retry of a, which has the same ID: its stages have the same results, and the
+// same servers may run it.
+func (a *Request) isRetriedBy(b *Request) bool {
+	return a.Service == b.Service && slices.Equal(a.Regions, b.Regions) && a.InputKey == b.InputKey &&
+		slices.EqualFunc(a.Stages, b.Stages, func(s, t StageRequest) bool {
+			return s.Service == t.Service && s.Tasks == t.Tasks && slices.Equal(s.After, t.After)
+		})
+}
+
 // lost reports whether the process that holds one of the results has ended.
 func (s *jobStage) lost() bool {
 	return slices.ContainsFunc(s.tasks, func(p *task) bool { return p.stageServer != nil && p.stageServer.lost })
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -108,24 +108,28 @@
 	b.wantInputs("the grant", b.decisions[0].Inputs, 2, "encodea:1/1", "encodea:1/2")
 }
 
-// The entry of a server with results vanishes, and returns with a new process: the results are made again.
+// The entry of a server with results, of some size or none, vanishes, and returns with a new process: the results are
+// made again.
 func TestServerReturnsWithNewProcess(t *testing.T) {
-	b := newHarness(t)
-	b.keepServers("encode-a", "rank-a", "model-a")
-	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
-	b.submit("1", 2, mebibyte, twoStages)
-	b.completeOn("encode-a")
-	all := slices.Clone(b.servers)
-	b.keepServers("rank-a", "model-a")
-	b.advance(25 * time.Millisecond)
-	b.servers = all
-	b.restart("encode-a")
-	b.completeOn("rank-a")
-	b.want("stage that runs", b.completeOn("encode-a").Stage, 0)
-	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/2", "encodea:1/1")
+	for _, bytes := range []int64{mebibyte, 0} {
+		b := newHarness(t)
+		b.keepServers("encode-a", "rank-a", "model-a")
+		b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
+		b.submit("1", 2, bytes, twoStages)
+		b.completeOn("encode-a")
+		all := slices.Clone(b.servers)
+		b.keepServers("rank-a", "model-a")
+		b.advance(25 * time.Millisecond)
+		b.servers = all
+		b.restart("encode-a")
+		b.completeOn("rank-a")
+		b.want("stage that runs", b.completeOn("encode-a").Stage, 0)
+		b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/2", "encodea:1/1")
+	}
 }
 
-// Two requests in progress have the same id, against the rules: none is granted with the results of the other.
+// Two requests in progress have the same id, against the rules: none is granted with the results of the other, or
+// where only the other may run.
 func TestRepeatedID(t *testing.T) {
 	b := newHarness(t)
 	b.keepServers("encode-a", "model-a", "model-b")
@@ -136,4 +140,55 @@
 	b.submit("1", 2, mebibyte, func(a *Request) { a.Attempt, a.Retry = 1, true })
 	b.completeOn("encode-a")
 	b.wantInputs("the first request's second grant", b.decisions[2].Inputs, 2, b.decisions[1].Inputs...)
+
+	b = newHarness(t)
+	b.keepServers("rank-a", "model-a", "model-b")
+	b.submit("1", 0, 0, nil)
+	b.submit("1", 0, 0, func(a *Request) { a.Service = "rank" })
+	b.submit("1", 0, 0, func(a *Request) { a.Attempt, a.Retry = 1, true })
+	b.want("service of the first request's second grant", b.decisions[2].Server.Service, "model")
+}
+
+// A report on the run of one of two requests with the same id does not end the other, which still waits.
+func TestReportOfRepeatedID(t *testing.T) {
+	for _, e := range []RunStatus{RunStarted, RunDone} {
+		b := newHarness(t)
+		b.keepServers("encode-a", "model-a")
+		b.submit("1", 0, 0, nil)
+		b.submit("1", 2, mebibyte, nil)
+		b.scheduler.OnReport(Report{ID: "1", Server: b.decisions[0].Server.ID, Status: e})
+		b.completeOn("encode-a")
+		b.want("decisions", len(b.decisions), 2)
+	}
+}
+
+// A batch ends after its server restarted, as the process that had it refuses connections: the results of the next
+// process stay known, and are lost with it.
+func TestLateEndOfBatchOfEndedProcess(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "rank-a", "model-a")
+	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
+	b.submit("1", 1, 1000, nil)
+	late := b.batches[1]
+	b.batches = b.batches[:1]
+	b.restart("encode-a")
+	b.submit("2", 2, mebibyte, twoStages)
+	b.completeOn("encode-a")
+	b.scheduler.OnBatch(late.Number, BatchRefused, nil)
+	b.collect()
+	b.restart("encode-a")
+	b.completeOn("rank-a")
+	b.completeOn("encode-a") // request 1
+	b.completeOn("encode-a")
+	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/1", "encodea:1/2")
+}
+
+// A caller leaves out the stage whose results the next one uses: no task runs without inputs.
+func TestStageWithoutInputs(t *testing.T) {
+	b := newHarness(t)
+	b.submit("1", 0, mebibyte, twoStages)
+	b.want("batches", len(b.batches), 0)
+	if len(b.decisions) != 1 || b.decisions[0].Reason != ReasonNoInputs {
+		t.Errorf("got %+v, want a refusal", b.decisions)
+	}
 }
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -71,6 +71,10 @@
 	}
 	h.forget(a.ID)
 	j := &job{request: a, arrived: now, goal: now.Add(a.Goal), deadline: now.Add(a.Remaining), rank: rank{priority: a.Priority}}
+	if a.lacksInputs() {
+		h.refuse(j, ReasonNoInputs, 0)
+		return
+	}
 	if h.fairness.starved(a.fairnessKeys()) {
 		j.rank.priority = starvedPriority
 	}
@@ -119,7 +123,7 @@
 // results, and reports whether the job and its results still exist.
 func (h *Scheduler) regrant(a Request) bool {
 	j := h.jobs[a.ID]
-	if j == nil || j.granted == nil || !j.request.sameResults(&a) {
+	if j == nil || j.granted == nil || !j.request.isRetriedBy(&a) {
 		return false
 	}
 	for _, s := range j.stages {
@@ -280,14 +284,14 @@
 	e.addGrant(h.Now(), j.request.Tokens)
 }
 
-// OnReport handles a node's report on a granted request.
+// OnReport handles a node's report on a granted request. One that does not fit the grant is about another request.
 func (h *Scheduler) OnReport(r Report) {
 	h.init()
 	if e := h.modelServers[r.Server]; e != nil {
 		e.observe(h.Now(), r.Status)
 	}
 	j := h.jobs[r.ID]
-	if j == nil || j.request.Attempt != r.Attempt {
+	if j == nil || j.request.Attempt != r.Attempt || j.granted == nil || j.granted.server.ID != r.Server {
 		return
 	}
 	switch r.Status {
--- a/io/exchange/joined_test.go
+++ b/io/exchange/joined_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -52,7 +53,7 @@
 		served bool
 	}{
 		{"", true}, {refusal, true}, {chunks, true}, {empty, true}, {noID, true}, {refusal + chunks + empty, true},
-		{"HTTP/1.1 103 Early Hints\r\nId: due\r\n\r\n" + refusal, true}, {"HTTP/1.1 304 Not Modified\r\nId: old\r\nContent-Length: 3\r\n\r\n", true},
+		{"HTTP/1.1 103 Early Hints\r\nId: due\r\n\r\n" + refusal, true}, {strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20) + refusal, true}, {"HTTP/1.1 304 Not Modified\r\nId: old\r\nContent-Length: 3\r\n\r\n", true},
 		{strings.Repeat(refusal, 4), false}, {timeout, false}, {endless, false}, {"old" + refusal, false}, {"\r\n\r\n", false},
 		{"HTTP/1.1 421 Misdirected Request\r\nId: old\r\nId: due\r\nContent-Length: 0\r\n\r\n", true},
 	} {
@@ -112,15 +113,19 @@
 }
 
 // A server stops inside a body and responds once more on the same connection, to this request or to an earlier one:
-// the second response does not fill up the first. A body that reads like the response to another request is whole.
+// the second response does not fill up the first, wherever the first would end. A body that reads like the response to
+// another request is whole, and so is one that is followed by another response.
 func TestResponseInsideBody(t *testing.T) {
-	for _, c := range []struct {
+	type test struct {
 		length, id string
 		broken     bool
-	}{
-		{"Content-Length: 60\r\n", "due", true}, {"Content-Length: 60\r\n", "old", true}, {"Content-Length: 60\r\n", "any", false},
-		{"", "due", true}, {"", "any", false},
-	} {
+	}
+	l := []test{{"", "due", true}, {"", "any", false}}
+	for n := len("half"); n <= 60; n++ {
+		length := fmt.Sprintf("Content-Length: %d\r\n", n)
+		l = append(l, test{length, "due", n > len("half")}, test{length, "old", n > len("half")}, test{length, "any", false})
+	}
+	for _, c := range l {
 		run(t, func(s *script) {
 			s.requests = nil
 			s.responses <- okResponse("old", "")
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -14,16 +14,17 @@
 const (
 	maxQueueBytes  = 8 << 20 // twice DefaultMaxFrame, so that one largest frame leaves space for others
 	maxQueueFrames = 8192
-	writeTimeout   = 1500 * time.Millisecond // for all messages written after one wake-up
+	writeTimeout   = 1500 * time.Millisecond // for chunkBytes, or all control messages that are queued
 	chunkBytes     = 64 << 10                // bytes of other messages after which control messages are looked for again
 	bufferBytes    = 16 << 10                // each of the reader and the writer of a connection
 )
 
 // conn is one open connection of either side.
 type conn struct {
-	net   net.Conn
-	in    *bufio.Reader
-	stats *counters
+	net      net.Conn
+	in       *bufio.Reader
+	maxFrame int // limit of the bytes of a message to be sent; 0: the sender checks
+	stats    *counters
 
 	lastReceived atomic.Int64 // Unix nanoseconds of the last frame received
 	peerNames    names        // in the peer's messages; only the reader changes it
@@ -55,6 +56,10 @@
 
 // enqueue queues a frame. The frame is not sent if it returns an error.
 func (c *conn) enqueue(t Type, b *buffer) error {
+	if n := b.Len() - headerBytes; c.maxFrame > 0 && n > c.maxFrame {
+		b.free()
+		return &OversizedError{Size: n, Limit: c.maxFrame}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cause != nil {
@@ -112,13 +117,14 @@
 			return
 		case <-c.wake:
 		}
-		_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout)) // a failure shows in the writes
 		for l = c.dequeue(l[:0]); len(l) > 0; l = c.dequeue(l[:0]) {
+			c.limitWrites()
 			if err := c.writeAll(w, l); err != nil {
 				c.close(err)
 				return
 			}
 		}
+		c.limitWrites()
 		if err := w.Flush(); err != nil {
 			c.close(err)
 			return
@@ -126,6 +132,11 @@
 	}
 }
 
+// limitWrites gives the next writes their time.
+func (c *conn) limitWrites() {
+	_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout)) // a failure shows in the writes
+}
+
 func (c *conn) writeAll(w *bufio.Writer, l []*buffer) error {
 	for _, b := range l {
 		n, err := w.Write(b.Bytes())
