core/placement: a request that is given up without a server is dropped again

Cause: let a report count only for the server that was granted. Nodes give up waiting requests, and those whose servers all failed, without naming one: these stayed with their coordinator, which made their stages for nobody until their deadline passed. Found by reading before it landed; no test failed.

Change: a report that names no server is about the request whoever runs it.

TestAbandonedRequest failed before: 1 job left, waiting or granted.

--- a/core/placement/job.go
+++ b/core/placement/job.go
@@ -110,6 +110,9 @@
 		})
 }
 
+// isGranted reports whether the job was granted on a server.
+func (j *job) isGranted(server string) bool { return j.granted != nil && j.granted.server.ID == server }
+
 // lost reports whether the process that holds one of the results has ended.
 func (s *jobStage) lost() bool {
 	return slices.ContainsFunc(s.tasks, func(p *task) bool { return p.stageServer != nil && p.stageServer.lost })
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -162,6 +162,17 @@
 	}
 }
 
+// A request that its node gives up without naming a server is dropped, whether it waits or was granted.
+func TestAbandonedRequest(t *testing.T) {
+	for _, tasks := range []int{0, 2} {
+		b := newHarness(t)
+		b.keepServers("encode-a", "model-a")
+		b.submit("1", tasks, mebibyte, nil)
+		b.scheduler.OnReport(Report{ID: "1", Status: RunAbandoned})
+		b.want("jobs", len(b.scheduler.jobs), 0)
+	}
+}
+
 // A batch ends after its server restarted, as the process that had it refuses connections: the results of the next
 // process stay known, and are lost with it.
 func TestLateEndOfBatchOfEndedProcess(t *testing.T) {
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -284,14 +284,14 @@
 	e.addGrant(h.Now(), j.request.Tokens)
 }
 
-// OnReport handles a node's report on a granted request. One that does not fit the grant is about another request.
+// OnReport handles a node's report on a request. One that names a server that was not granted is about another request.
 func (h *Scheduler) OnReport(r Report) {
 	h.init()
 	if e := h.modelServers[r.Server]; e != nil {
 		e.observe(h.Now(), r.Status)
 	}
 	j := h.jobs[r.ID]
-	if j == nil || j.request.Attempt != r.Attempt || j.granted == nil || j.granted.server.ID != r.Server {
+	if j == nil || j.request.Attempt != r.Attempt || r.Server != "" && !j.isGranted(r.Server) {
 		return
 	}
 	switch r.Status {
