The hold-off of a server that started again under its id binds for the process that asked

A server starts again under the id that it had, and turns a request away with 503 and Retry-After before the node has read its new entry (up to 1 s). When the entry came, the node took the hold-off for that of the earlier process and sent on at once, all the time that the server had asked for.

Cause: hold-offs are kept by process (id and start), a response does not tell its process, and the node took the one of the entry that it knew when it sent. The same with a server whose entry the coordinator had read before this node: the hold-off was kept for no start.

Change: hold-offs are kept by id. One binds for a later process too if that had started when the response came, and for any if a start is not known; not for one that started afterwards. A send that is kept back tells the scheduler for how long, as its state of a stage server is new with each process; otherwise it started a batch every backoff in vain, each charged to the retry budget.

--- a/core/relay/holdoff.go
+++ b/core/relay/holdoff.go
@@ -22,8 +22,24 @@
 type HoldOffs struct {
 	Now func() time.Time
 
-	mu    sync.RWMutex
-	until map[Process]time.Time // without those that ended before the last Begin
+	mu  sync.RWMutex
+	all map[string]holdOff // by the server's ID, without those that ended before the last Begin
+}
+
+// holdOff is what a process asked for.
+type holdOff struct {
+	process Process
+	asked   time.Time
+	until   time.Time
+}
+
+// binds reports whether the hold-off is that of a process. A response does not tell which process of its
+// server sent it: it may be that of a later one, if this had started by then.
+func (o *holdOff) binds(p Process) bool {
+	if o.process.StartedAt == 0 || p.StartedAt == 0 {
+		return true
+	}
+	return p.StartedAt <= max(o.process.StartedAt, o.asked.UnixMilli())
 }
 
 func (h *HoldOffs) now() time.Time {
@@ -39,24 +55,36 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	maps.DeleteFunc(h.until, func(_ Process, t time.Time) bool { return !now.Before(t) })
-	if h.until == nil {
-		h.until = map[Process]time.Time{}
+	maps.DeleteFunc(h.all, func(_ string, o holdOff) bool { return !now.Before(o.until) })
+	if h.all == nil {
+		h.all = map[string]holdOff{}
 	}
-	old, ok := h.until[p]
-	if t := now.Add(min(d, MaxHoldOff)); t.After(now) && t.After(old) {
-		h.until[p] = t
+	x := holdOff{process: p, asked: now, until: now.Add(min(d, MaxHoldOff))}
+	old, ok := h.all[p.ID]
+	if ok = ok && old.binds(p); ok {
+		x.process.StartedAt = max(p.StartedAt, old.process.StartedAt)
+		x.until = later(x.until, old.until)
+	}
+	if x.until.After(now) {
+		h.all[p.ID] = x
 	}
 	return !ok
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Remaining returns how long a hold-off still lasts, 0 if there is none.
 func (h *HoldOffs) Remaining(p Process) time.Duration {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	t, ok := h.until[p]
-	if !ok {
+	o, ok := h.all[p.ID]
+	if !ok || !o.binds(p) {
 		return 0
 	}
-	return max(0, t.Sub(h.now()))
+	return max(0, o.until.Sub(h.now()))
 }
--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -108,6 +108,35 @@
 	}
 }
 
+// A server starts again under its id and rejects a request before the node has read its new entry: the
+// hold-off is that of the process that rejected.
+func TestHoldOffOfRestartedServer(t *testing.T) {
+	for kind, path := range map[string]string{"plain": "/read/x", "encode": "/draft/x"} {
+		runFleet(t, func(w *testFleet) {
+			w.stream("a1", path, "0")
+			s := w.used(kind)
+			w.registerProcess(s, kind, s.ID[len(s.ID)-1:], 1000, 1)
+			time.Sleep(2 * time.Second)
+			startedAt := int(time.Now().UnixMilli())
+			rejectedAt := rejectOnce(s, "4")
+			w.stream("a1", path, "1")
+			w.registerProcess(s, kind, s.ID[len(s.ID)-1:], startedAt, 1)
+			time.Sleep(1200 * time.Millisecond)
+			var g sync.WaitGroup
+			for i := range 8 {
+				g.Go(func() { w.stream("a1", path, fmt.Sprint("together", i)) })
+			}
+			g.Wait()
+			if rejected := rejectedAt(); rejected.IsZero() || arrivedSince(s, rejected) != 0 {
+				t.Errorf("%s: got %d requests after the rejection at %v, want 0", s.ID, arrivedSince(s, rejected), rejected)
+			}
+			if got := w.log.matching(s.ID, "asked for a pause"); len(got) > 1 {
+				t.Errorf("%s: got %d calls that the node started during the hold-off", s.ID, len(got))
+			}
+		})
+	}
+}
+
 // If all servers of a service hold the node off, requests are refused at once, with the time after which
 // the first one takes requests again, or a third of the request's time if that is less.
 func TestAllServersHoldOff(t *testing.T) {
--- a/io/edge/serverguard.go
+++ b/io/edge/serverguard.go
@@ -20,7 +20,7 @@
 	cache    *relay.Cache
 	holdOffs relay.HoldOffs
 	log      *zap.Logger
-	// onHoldOff is called at the start of each hold-off.
+	// onHoldOff is called with the rest of a hold-off when it begins, and when it keeps a request back.
 	onHoldOff func(p relay.Process, d time.Duration)
 }
 
@@ -49,10 +49,12 @@
 
 // admit returns relay.ErrHeldOff if a process holds this node off.
 func (g *serverGuard) admit(p relay.Process) error {
-	if g.holdOffs.Remaining(p) > 0 {
-		return relay.ErrHeldOff
+	d := g.holdOffs.Remaining(p)
+	if d <= 0 {
+		return nil
 	}
-	return nil
+	g.onHoldOff(p, d) // it may have begun with an earlier process of the server
+	return relay.ErrHeldOff
 }
 
 // holdOff returns for how long a server still holds this node off, 0 if it does not.
