The guard sees the head of a stage server's response that breaks off

A stage server turns a batch, a release or a query away with 503 and Retry-After, or states that it is leaving, and its response breaks off in the body: the node ignored what the head said, and went on sending.

Cause: Whole showed the head to the guard only once the whole response was read and accepted.

Change: it shows it in any case, but for copies of earlier responses. On a connection that is kept all earlier responses were accepted ones, so that what is taken for a broken one is no late 503.

Evidence: TestGuardSeesResponse, third response: got heads [200 503], want 502 too; passes now, io/exchange with -race.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -160,9 +160,7 @@
 		var mark string
 		b, mark, err = readWhole(a, limit, identify)
 		if body.conn.isNew(mark) {
-			if err == nil {
-				r.Guard.onHead(a.StatusCode, a.Header)
-			}
+			r.Guard.onHead(a.StatusCode, a.Header)
 			body.reuse = mark != "" && framed(a) && !a.Close
 			break
 		}
--- a/io/exchange/guard.go
+++ b/io/exchange/guard.go
@@ -14,8 +14,8 @@
 	// Admit is called before a connection is opened, and again before the first byte is
 	// written. Its error keeps the request from being sent.
 	Admit func() error
-	// OnHead is called with the status and the header of the response, not with those of copies of
-	// earlier responses.
+	// OnHead is called with the status and the header of the response, also if the rest of it is missing or is
+	// no answer to the request. It is not called with those of copies of earlier responses.
 	OnHead func(status int, h http.Header)
 }
 
--- a/io/exchange/guard_test.go
+++ b/io/exchange/guard_test.go
@@ -9,24 +9,25 @@
 	"testing/synctest"
 )
 
-// The guard sees the header of the response to its request, also behind a copy of an earlier one.
+// The guard sees the header of the response to its request, also behind a copy of an earlier one, and if
+// the rest of the response is missing.
 func TestGuardSeesResponse(t *testing.T) {
 	run(t, func(s *script) {
 		var got []int
-		send := func() {
+		send := func() error {
 			r := &Request{Address: address, Method: http.MethodPost, Target: "/", Host: "h"}
 			r.Guard.OnHead = func(status int, _ http.Header) { got = append(got, status) }
 			_, _, err := s.pool.Whole(context.Background(), r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
-			if err != nil {
-				t.Error(err)
-			}
+			return err
 		}
 		s.responses <- okResponse("", "m1")
-		send()
 		s.responses <- okResponse("", "m1") + "HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n"
-		send()
-		if !slices.Contains(got, 503) {
-			t.Errorf("got %v, want the 503", got)
+		s.responses <- "HTTP/1.1 502 cut\r\nContent-Length: 3\r\n\r\nab" + cut
+		if err := errors.Join(send(), send()); err != nil {
+			t.Error(err)
+		}
+		if _, ok := errors.AsType[*BrokenError](send()); !ok || !slices.Equal(got, []int{200, 503, 502}) {
+			t.Errorf("got %v, want 200, 503, and 502 of a broken response", got)
 		}
 	})
 }
