Requests that a hold-off keeps back do not count against their server

What callers saw: more load on the other servers than needed, up to 4 s after the time for which a server had asked for a pause: requests that were opening connections to it when it rejected were not sent, and each of them doubled its backoff as if it had broken them off. A server in backoff is used only if there is no other.

Change: a request that was kept back starts no backoff.

--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -108,6 +108,37 @@
 	}
 }
 
+// Requests whose connections are opened as a server rejects are kept back. They don't count against it: it gets
+// requests again at the end of its hold-off.
+func TestRequestsKeptBackByHoldOff(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.net.Latency = func(string, string) time.Duration { return 20 * time.Millisecond }
+		s := w.servers["plain-a"]
+		start := time.Now()
+		s.RetryAfter = "1"
+		s.SharedFault = func() platformstandin.Fault {
+			if time.Since(start) < 500*time.Millisecond {
+				return platformstandin.FaultReject
+			}
+			return platformstandin.FaultNone
+		}
+		var g sync.WaitGroup
+		for i := range 400 {
+			g.Go(func() {
+				time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+				w.request("a1", http.MethodGet, "/read/x", fmt.Sprint(i))
+			})
+		}
+		g.Wait()
+		if n := arrivedSince(s, start.Add(500*time.Millisecond)) - arrivedSince(s, start.Add(1500*time.Millisecond)); n == 0 {
+			t.Error("got no request within 0.5 s of the end of the hold-off")
+		}
+		if got := w.log.matching(s.ID, "asked for a pause"); len(got) < 3 {
+			t.Errorf("got %d requests that were kept back, want several", len(got))
+		}
+	})
+}
+
 // A server starts again under its id and rejects a request before the node has read its new entry: the
 // hold-off is that of the process that rejected.
 func TestHoldOffOfRestartedServer(t *testing.T) {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -116,7 +116,7 @@
 	disconnected := errors.Is(context.Cause(ctx), context.Canceled)
 	failed := a.err != nil && !disconnected || a.err == nil && !a.notRun && a.response.Status >= http.StatusInternalServerError
 	end(time.Now(), failed, a.notRun || disconnected)
-	if a.err != nil && !disconnected {
+	if a.err != nil && !disconnected && !errors.Is(a.err, relay.ErrHeldOff) {
 		s.Balancer.Backoff(t.ID, time.Now())
 		q.reportBroken(a, t)
 	}
