--- a/io/edge/repeated_test.go
+++ b/io/edge/repeated_test.go
@@ -91,6 +91,9 @@
 		if r := w.stream("a1", "/once/x", "again"); r.status != 200 || r.body != fullStream(6) || w.runCount("again") != 1 {
 			t.Errorf("got %d %v %q after %d runs, want one run", r.status, r.err, r.body, w.runCount("again"))
 		}
+		if got := len(w.log.matching(`"not_run"`, "again")); got != 1 {
+			t.Errorf("got %d refusals, want the one without its copy", got)
+		}
 	})
 }
 
