A server that said that it is leaving before its entry was read stays marked

What the users would see: DRAIN. A coordinator places a request at a server whose entry this node has not read yet; the response says that the server is leaving. When the entry came, the mark was dropped, and the node sent there again.

Cause: such a mark has no start, and was taken for that of an earlier process.

Change: it is that of the first entry that the node reads, unless that process started later.

Evidence: TestMarkWithoutEntry, "start unknown until the entry came": not marked and in the view, now marked. TestWithdrawnByEntry covers two more: nothing is sent where this node has read that the server leaves or its domain is taken out, though another node placed it there, and the lookup of the process of such a grant.

--- a/core/relay/leaving.go
+++ b/core/relay/leaving.go
@@ -28,7 +28,7 @@
 // leavingMark marks one process of a server as leaving.
 type leavingMark struct {
 	startedAt int64     // of the process, 0: unknown
-	removedAt time.Time // when its entry was removed; zero: the entry is known
+	removedAt time.Time // when its entry was removed, or it was marked without one; zero: the entry is known
 }
 
 // MarkLeaving records that a process is leaving, and reports whether this is new. From then
@@ -111,15 +111,17 @@
 		return
 	}
 	same := m.startedAt == x.StartedAt
-	if x.StartedAt == 0 && old != nil {
+	switch {
+	case x.StartedAt == 0 && old != nil:
 		same = same && old.Address == x.Address && (x.Leaving || !old.Leaving)
+	case m.startedAt == 0 && old == nil: // the first entry that this node reads of it
+		same = x.StartedAt <= m.removedAt.UnixMilli()
 	}
 	if !same {
 		delete(s.leaving, x.ID)
 		return
 	}
-	m.removedAt = time.Time{}
-	s.leaving[x.ID] = m
+	s.leaving[x.ID] = leavingMark{startedAt: x.StartedAt}
 }
 
 // markRemoved updates the mark of a server whose entry was removed. Without a known start,
--- a/core/relay/leaving_test.go
+++ b/core/relay/leaving_test.go
@@ -46,20 +46,62 @@
 	}
 }
 
-// A mark is kept for a while without an entry, as for a server that this node reads of later.
+// A mark is kept for a while without an entry, as for a server that this node reads of later. An entry ends that
+// time; it is that of another process if this started after the mark.
 func TestMarkWithoutEntry(t *testing.T) {
-	now := time.Unix(100, 0)
-	s := Cache{Now: func() time.Time { return now }}
-	p := Process{ID: "1", StartedAt: 5}
-	s.MarkLeaving(p)
-	now = now.Add(leavingTTL)
-	s.View()
-	if !s.Withdrawn(p) {
-		t.Errorf("got no mark after %v", leavingTTL)
+	for _, c := range []struct {
+		name             string
+		marked, returned int64 // starts; returned is that of the entry that comes, 0: none
+		kept             bool
+	}{
+		{"no entry", 5, 0, false}, {"the entry came back", 5, 5, true}, {"start unknown until the entry came", 0, 5, true},
+		{"start unknown, later process", 0, 100_001, false},
+	} {
+		now := time.Unix(100, 0)
+		s := Cache{Now: func() time.Time { return now }}
+		p := Process{ID: "1", StartedAt: c.marked}
+		s.Put(&Server{ID: "2"})
+		s.Delete("2")
+		s.MarkLeaving(p)
+		if now = now.Add(leavingTTL); !s.Withdrawn(p) {
+			t.Errorf("%s: got no mark after %v", c.name, leavingTTL)
+		}
+		if c.returned > 0 {
+			p.StartedAt = c.returned
+			s.Put(&Server{ID: "1", Service: "s", StartedAt: c.returned})
+		}
+		now = now.Add(time.Second)
+		if v := s.View(); s.Withdrawn(p) != c.kept || (len(v.Servers["s"]) == 0) != (c.kept || c.returned == 0) {
+			t.Errorf("%s: got %v and %d servers after more than %v, want %v", c.name, s.Withdrawn(p), len(v.Servers["s"]), leavingTTL, c.kept)
+		}
+		if len(s.leaving) > 0 != c.kept || len(s.gone) > 0 {
+			t.Errorf("%s: got %d marks and %d removed entries after their time", c.name, len(s.leaving), len(s.gone))
+		}
+	}
+	s := Cache{Now: func() time.Time { return time.Unix(100, 0) }}
+	s.Put(&Server{ID: "1", StartedAt: 5})
+	s.MarkLeaving(Process{ID: "1", StartedAt: 5})
+	s.Delete("1")
+	if m, ok := s.leaving["1"]; !ok || m.removedAt.IsZero() {
+		t.Errorf("got %v, want a mark that ends", m)
+	}
+}
+
+// A node that has read that a server's entry says leaving, or that its failure domain is taken out, sends nothing
+// there, also if it was placed by another node, which does not tell the process.
+func TestWithdrawnByEntry(t *testing.T) {
+	var s Cache
+	s.Put(&Server{ID: "1", StartedAt: 5, Leaving: true})
+	s.Put(&Server{ID: "2", StartedAt: 5, Domain: "a"})
+	s.Put(&Server{ID: "3", StartedAt: 5, Domain: "b"})
+	s.TakeOut(map[string]bool{"a": true})
+	for id, want := range map[string]bool{"1": true, "2": true, "3": false, "4": false} {
+		if got := s.Withdrawn(s.Process(&Server{ID: id})); got != want {
+			t.Errorf("%s: got %v, want %v", id, got, want)
+		}
 	}
-	now = now.Add(time.Second)
-	s.View()
-	if s.Withdrawn(p) {
-		t.Errorf("got a mark after more than %v", leavingTTL)
+	s.MarkLeaving(s.Process(&Server{ID: "3"}))
+	if p := (Process{ID: "3", StartedAt: 5}); !s.Withdrawn(p) {
+		t.Errorf("got no mark of %v", p)
 	}
 }
