io/standin: Script sends given responses; io/exchange: its tests use it

The server of scripted responses of io/exchange's tests stood again in io/backend's (cut_test.go). It is a stand-in of its own now, as Endless and Repeater are, with the three framings that both tests, and those of io/edge, wrote out.

--- a/io/exchange/cut_test.go
+++ b/io/exchange/cut_test.go
@@ -25,7 +25,6 @@
 	for framing, rest := range bodies {
 		for _, before := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: <x>\r\n\r\n"} {
 			run(t, func(s *script) {
-				s.requests = nil
 				ids := 0
 				response := func() string {
 					ids++
@@ -63,13 +62,10 @@
 // A response to a HEAD request, which has no body, is broken off too if its head is.
 func TestCutResponseToHead(t *testing.T) {
 	run(t, func(s *script) {
-		s.requests = nil
 		const whole = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\n"
 		for n := range len(whole) + 1 {
 			s.responses <- whole[:n] + cut
-			r, err := s.pool.Do(context.Background(), &Request{
-				Address: address, Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{"Id": {"1"}}, Echo: "Id",
-			})
+			r, err := s.open(http.MethodHead, "1")
 			if (err == nil) != (n == len(whole)) {
 				t.Errorf("cut after %q: got %v", whole[:n], err)
 			}
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -17,65 +16,48 @@
 
 const address = "10.0.0.1:80"
 
-// cut at the end of a response of a script is not sent, but closes the connection.
-const cut = "(cut)"
+const cut = standin.Cut
 
-// script is a server that sends the next of its responses to each request on a
-// connection; an empty response closes the connection.
+// script is a pool with a server that sends the next of the responses to each request.
 type script struct {
 	t         *testing.T
 	net       *standin.Network
 	pool      Pool
 	responses chan string
-	requests  chan *http.Request
+	requests  chan *http.Request // that the server got
 	conns     int
 }
 
 func run(t *testing.T, f func(*script)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &script{t: t, net: &standin.Network{}, responses: make(chan string, 10), requests: make(chan *http.Request, 10)}
-		s.pool.Dial = func(ctx context.Context, a string) (net.Conn, error) { return s.net.Dial(ctx, "10.0.0.9", a) }
+		s := &script{t: t, net: &standin.Network{}, responses: make(chan string, 10), requests: make(chan *http.Request, 1<<12)}
+		s.pool.Dial = func(ctx context.Context, a string) (net.Conn, error) {
+			c, err := s.net.Dial(ctx, "10.0.0.9", a)
+			if err == nil {
+				s.conns++
+			}
+			return c, err
+		}
 		l, err := s.net.Listen(address)
 		if err != nil {
 			t.Fatal(err)
 		}
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				s.conns++
-				go s.serve(c)
-			}
-		}()
+		server := standin.Script{Responses: s.responses, Answers: func(r *http.Request) bool {
+			s.requests <- r
+			return true
+		}}
+		go server.Serve(l)
 		f(s)
 		close(s.responses)
 		s.net.Close()
 	})
 }
 
-func (s *script) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	in := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		if s.requests != nil {
-			s.requests <- r
-		}
-		x := <-s.responses
-		if x == "" {
-			return
-		}
-		x, end := strings.CutSuffix(x, cut)
-		if _, err := io.WriteString(c, x); err != nil || end || strings.Contains(x, "close") {
-			return
-		}
-	}
+// open sends a request without a body, and returns its response.
+func (s *script) open(method, id string) (*Response, error) {
+	return s.pool.Do(context.Background(), &Request{
+		Address: address, Method: method, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, Echo: "Id",
+	})
 }
 
 func (s *script) do(ctx context.Context, id string) (int, string, error) {
@@ -175,14 +157,15 @@
 }
 
 // whole sends a request whose server repeats no id; the body of its response is its mark.
-func (s *script) whole() (string, error) {
+func (s *script) whole(ctx context.Context) (string, error) {
 	r := &Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h"}
-	_, b, err := s.pool.Whole(context.Background(), r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
+	_, b, err := s.pool.Whole(ctx, r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
 	return string(b), err
 }
 
-// A copy of a marked response is skipped. A connection is not used after a response without a mark, of
-// which a copy cannot be told from the next response.
+// A copy of a marked response is skipped, on its connection and on another one, as each mark is given out once. A
+// connection is not used after that, or after a response without a mark, of which a copy cannot be told from the
+// next response.
 func TestCopiedResponse(t *testing.T) {
 	run(t, func(s *script) {
 		for i, c := range []struct {
@@ -190,13 +173,14 @@
 			conns          int
 		}{
 			{okResponse("", "m1"), "m1", 1},
-			{okResponse("", "m1") + okResponse("", "m2"), "m2", 1}, // then it is not used again
+			{okResponse("", "m1") + okResponse("", "m2"), "m2", 1},
 			{okResponse("", ""), "", 2},
-			{okResponse("", "m3"), "m3", 3},
-			{okResponse("", "m4"), "m4", 3},
+			{okResponse("", "m1") + okResponse("", "m3"), "m3", 3},
+			{okResponse("", "m4"), "m4", 4},
+			{okResponse("", "m5"), "m5", 4},
 		} {
 			s.responses <- c.response
-			if got, err := s.whole(); got != c.want || err != nil || s.conns != c.conns {
+			if got, err := s.whole(context.Background()); got != c.want || err != nil || s.conns != c.conns {
 				t.Errorf("request %d: got %q %v on %d connections, want %q on %d", i, got, err, s.conns, c.want, c.conns)
 			}
 		}
@@ -207,36 +191,18 @@
 func TestCopiesWithoutEnd(t *testing.T) {
 	run(t, func(s *script) {
 		s.responses <- okResponse("", "m1")
-		_, _ = s.whole()
+		_, _ = s.whole(context.Background())
 		s.responses <- strings.Repeat(okResponse("", "m1"), maxSkipped+1)
 		start := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		r := &Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h"}
-		_, _, err := s.pool.Whole(ctx, r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
+		_, err := s.whole(ctx)
 		if !errors.Is(err, errForeignResponse) || time.Since(start) != 0 {
 			t.Errorf("got %v after %v, want %v at once", err, time.Since(start), errForeignResponse)
 		}
 	})
 }
 
-// A server sends a copy of a marked response on another connection than the first: it is skipped, as
-// each mark is given out once.
-func TestCopyOnAnotherConnection(t *testing.T) {
-	run(t, func(s *script) {
-		for i, c := range []struct{ response, want string }{
-			{okResponse("", "m1"), "m1"},
-			{okResponse("", ""), ""}, // no mark: the connection is closed
-			{okResponse("", "m1") + okResponse("", "m2"), "m2"},
-		} {
-			s.responses <- c.response
-			if got, err := s.whole(); got != c.want || err != nil {
-				t.Errorf("request %d: got %q %v, want %q", i, got, err, c.want)
-			}
-		}
-	})
-}
-
 // An idle connection that may not carry a request gives way to one that may, if no more may be opened.
 func TestIdleConnectionGivesWay(t *testing.T) {
 	run(t, func(s *script) {
@@ -260,7 +226,7 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		s.responses <- okResponse("", "m1") + okResponse("", "m2")
-		if got, err := s.whole(); got != "m1" || err != nil || s.conns != 2 {
+		if got, err := s.whole(context.Background()); got != "m1" || err != nil || s.conns != 2 {
 			t.Errorf("got %q %v on %d connections, want m1 on a second one", got, err, s.conns)
 		}
 	})
@@ -296,7 +262,7 @@
 		s.net.SetHost("10.0.0.1", standin.HostUp)
 	})
 	for name, x := range map[string]string{
-		"closed without a response": "", "not HTTP": "ok close\r\n\r\n",
+		"closed without a response": "", "not HTTP": "ok close\r\n\r\n" + cut,
 		"cut off": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\nConnection: close\r\n\r\nok",
 	} {
 		run(t, func(s *script) {
--- a/io/exchange/joined_test.go
+++ b/io/exchange/joined_test.go
@@ -23,7 +23,6 @@
 		head := strings.Index(c[0], "\r\n\r\n") + 4
 		for n := 1; n < head; n++ {
 			run(t, func(s *script) {
-				s.requests = nil
 				s.responses <- c[0][:n] + c[1] + cut
 				status, b, err := s.do(context.Background(), "due")
 				if _, broken := errors.AsType[*BrokenError](err); !broken {
@@ -57,7 +56,6 @@
 		{"HTTP/1.1 421 Misdirected Request\r\nId: old\r\nId: due\r\nContent-Length: 0\r\n\r\n", true},
 	} {
 		run(t, func(s *script) {
-			s.requests = nil
 			s.responses <- okResponse("before", "x")
 			if _, _, err := s.do(context.Background(), "before"); err != nil {
 				t.Errorf("the request before: %v", err)
@@ -75,12 +73,9 @@
 // come.
 func TestCopiedResponseToHead(t *testing.T) {
 	run(t, func(s *script) {
-		s.requests = nil
 		const old = "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\n"
 		s.responses <- old
-		r, err := s.pool.Do(context.Background(), &Request{
-			Address: address, Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{"Id": {"old"}}, Echo: "Id",
-		})
+		r, err := s.open(http.MethodHead, "old")
 		if err != nil || r.Body.Close() != nil {
 			t.Errorf("HEAD: %v", err)
 		}
@@ -95,16 +90,13 @@
 // not taken for it.
 func TestCopyBeforeResponseToHead(t *testing.T) {
 	run(t, func(s *script) {
-		s.requests = nil
 		const old = "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 49\r\n\r\nHTTP/1.1 404 Gone\r\nId: due\r\nContent-Length: 2\r\n\r\n"
 		s.responses <- old
 		if _, _, err := s.do(context.Background(), "old"); err != nil {
 			t.Error(err)
 		}
 		s.responses <- old + "HTTP/1.1 200 OK\r\nId: due\r\nContent-Length: 3\r\n\r\n"
-		r, err := s.pool.Do(context.Background(), &Request{
-			Address: address, Method: http.MethodHead, Target: "/", Host: "h", Header: http.Header{"Id": {"due"}}, Echo: "Id",
-		})
+		r, err := s.open(http.MethodHead, "due")
 		if err != nil || r.Status != 200 || r.Length != 3 || r.Body.Close() != nil || s.conns != 1 {
 			t.Errorf("got %+v %v on %d connections, want the response after the copy", r, err, s.conns)
 		}
@@ -122,13 +114,12 @@
 		{"", "due", true}, {"", "any", false},
 	} {
 		run(t, func(s *script) {
-			s.requests = nil
 			s.responses <- okResponse("old", "")
 			if _, _, err := s.do(context.Background(), "old"); err != nil {
 				t.Error(err)
 			}
 			s.responses <- "HTTP/1.1 200 OK\r\nId: due\r\n" + c.length + "\r\nhalfHTTP/1.1 200 OK\r\nX-A: b\r\nid: " + c.id + "\r\n\r\n" + strings.Repeat("fill", 9) + cut
-			r, err := s.pool.Do(context.Background(), &Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"due"}}, Echo: "Id"})
+			r, err := s.open(http.MethodGet, "due")
 			if err != nil {
 				t.Fatal(err)
 			}
