io/backend: one way for its tests to serve a client

Four tests each built the network, the client and the clock of a fake server (withServer, withRepeater, withResponses, TestEndlessBytes). They share withListener now, and the responses of cut_test.go come from standin.Script. No test or statement changed.

Tests: go test -race ./io/backend, vet, golangci-lint.

--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -15,18 +16,33 @@
 	"bergamotspring/io/standin"
 )
 
-// withServer runs f with a server at "s:80" and a client under a fake clock.
-func withServer(t *testing.T, h http.Handler, f func(t *testing.T, n *standin.Network, c *Client)) {
+// withListener runs f with a server at "s:80" and a client under a fake clock.
+func withListener(t *testing.T, serve func(net.Listener), f func(t *testing.T, n *standin.Network, c *Client)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &standin.Network{}
 		l, err := n.Listen("s:80")
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := &http.Server{Handler: h}
-		go func() { _ = s.Serve(l) }()
+		go serve(l)
 		base := time.Now()
 		c := &Client{Dial: n.Dialer("node"), Clock: Clock{Boot: func() time.Duration { return time.Since(base) }}}
+		f(t, n, c)
+		c.Close()
+		time.Sleep(time.Second) // until the server observes that its connections are closed
+		n.Close()
+	})
+}
+
+// withServer is withListener with a server that handles requests.
+func withServer(t *testing.T, h http.Handler, f func(t *testing.T, n *standin.Network, c *Client)) {
+	withRepeater(t, h, &standin.Repeater{}, f)
+}
+
+// withRepeater is withServer with a server whose responses r repeats.
+func withRepeater(t *testing.T, h http.Handler, r *standin.Repeater, f func(t *testing.T, n *standin.Network, c *Client)) {
+	s := &http.Server{Handler: h}
+	withListener(t, func(l net.Listener) { _ = s.Serve(r.Wrap(l)) }, func(t *testing.T, n *standin.Network, c *Client) {
 		f(t, n, c)
 		c.Close()
 		_ = s.Close()
--- a/io/backend/cut_test.go
+++ b/io/backend/cut_test.go
@@ -1,80 +1,34 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"bergamotspring/core/stage"
 	"bergamotspring/io/standin"
 )
 
-// cut at the end of a response of withResponses is not sent, but closes the connection.
-const cut = "(cut)"
+const cut = standin.Cut
 
-// withResponses runs f with a client and a server at "s:80" that sends the responses in turn. Cancellations get
+// withResponses runs f with a client and a server that sends the responses in turn. Cancellations get
 // none of them.
 func withResponses(t *testing.T, f func(c *Client, responses chan<- string)) {
-	synctest.Test(t, func(t *testing.T) {
-		n := &standin.Network{}
-		l, err := n.Listen("s:80")
-		if err != nil {
-			t.Fatal(err)
-		}
-		responses := make(chan string, 2)
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go sendResponses(c, responses)
-			}
-		}()
-		base := time.Now()
-		c := &Client{Dial: n.Dialer("node"), Clock: Clock{Boot: func() time.Duration { return time.Since(base) }}}
+	responses := make(chan string, 2)
+	s := standin.Script{Responses: responses, Answers: func(r *http.Request) bool { return r.Method != http.MethodDelete }}
+	withListener(t, s.Serve, func(_ *testing.T, _ *standin.Network, c *Client) {
 		f(c, responses)
 		c.Close()
 		close(responses)
-		time.Sleep(time.Second) // until the server observes that its connections are closed
-		n.Close()
 	})
 }
 
-func sendResponses(c net.Conn, responses <-chan string) {
-	defer func() { _ = c.Close() }()
-	in := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil || r.Method == http.MethodDelete {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		x, end := strings.CutSuffix(<-responses, cut)
-		if _, err := io.WriteString(c, x); err != nil || end {
-			return
-		}
-	}
-}
-
-// framings returns a response that ends with its connection, one with a length and one in chunks.
-func framings(status, body string) []string {
-	head := "HTTP/1.1 " + status + "\r\nX-A: b\r\n"
-	chunk := ""
-	if body != "" {
-		chunk = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
-	}
-	return []string{
-		head + "\r\n" + body, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body),
-		head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n",
-	}
+// framings returns a response in each framing.
+func framings(status, body string) map[string]string {
+	return standin.Framings("HTTP/1.1 "+status+"\r\nX-A: b\r\n", body)
 }
 
 func tokenEvent(id string, index int, last bool) string {
@@ -118,7 +72,7 @@
 			withResponses(t, func(c *Client, responses chan<- string) {
 				for n := range end {
 					if n%2 == 0 { // on a connection used before
-						responses <- framings("200 OK", load)[1]
+						responses <- framings("200 OK", load)["length"]
 						if _, err := c.Load(context.Background(), "s:80"); err != nil {
 							t.Errorf("the call before: %v", err)
 						}
@@ -149,10 +103,12 @@
 		{"200 OK", tokenEvent("c1", 1, true) + done}, {"200 OK", tokenEvent("c2", 2, true) + done},
 		{"200 OK", tokenEvent("c2", 0, false) + tokenEvent("c2", 1, true) + done},
 	} {
-		for _, fails := range append(framings(c.status, c.body), "HTTP/1.1 204 No Content\r\n\r\n") {
+		l := framings(c.status, c.body)
+		l["no body"] = "HTTP/1.1 204 No Content\r\n\r\n"
+		for _, fails := range l {
 			withResponses(t, func(cl *Client, responses chan<- string) {
 				var a stage.Assembler
-				responses <- framings("200 OK", tokenEvent("c1", 0, false)+tokenEvent("c1", 1, false)[:9])[0] + cut
+				responses <- framings("200 OK", tokenEvent("c1", 0, false)+tokenEvent("c1", 1, false)[:9])["neither"] + cut
 				first := completeTokens(cl, "c1", &a)
 				responses <- fails + cut
 				second := completeTokens(cl, "c2", &a)
@@ -160,7 +116,7 @@
 					t.Errorf("%q: got %v, then %v with %+v", fails, first, second, a)
 				}
 				time.Sleep(time.Millisecond) // the client observes that the connection is closed
-				responses <- framings("200 OK", tokenEvent("c3", 1, false)+tokenEvent("c3", 2, true)+done)[0] + cut
+				responses <- framings("200 OK", tokenEvent("c3", 1, false)+tokenEvent("c3", 2, true)+done)["neither"] + cut
 				if err := completeTokens(cl, "c3", &a); err != nil || string(a.Text) != "t0t1t2" || !a.Done {
 					t.Errorf("%q: got %v with %+v of the third server", fails, err, a)
 				}
--- a/io/backend/endless_test.go
+++ b/io/backend/endless_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"bergamotspring/core/stage"
@@ -33,16 +32,10 @@
 		{"one event again and again", head, fmt.Sprintf("%x\r\n%s\r\n", len(token), token), 2 * maxResponse},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				n := &standin.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}
-				l, err := n.Listen("s:80")
-				if err != nil {
-					t.Fatal(err)
-				}
-				e := &standin.Endless{Start: c.start, Part: c.part, Gap: 10 * time.Millisecond}
-				go e.Serve(l)
-				base := time.Now()
-				p := &Client{Dial: e.Count(n.Dialer("node")), Clock: Clock{Boot: func() time.Duration { return time.Since(base) }}}
+			e := &standin.Endless{Start: c.start, Part: c.part, Gap: 10 * time.Millisecond}
+			withListener(t, e.Serve, func(t *testing.T, n *standin.Network, p *Client) {
+				n.Latency = func(string, string) time.Duration { return time.Millisecond }
+				p.Dial = e.Count(p.Dial)
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
 				_, invoked := p.Invoke(ctx, &Call{ID: "c1", Address: "s:80"}, "op", nil)
@@ -62,7 +55,6 @@
 				if got := e.Taken.Load(); got > c.bound {
 					t.Errorf("%d bytes were taken, want %d at most", got, c.bound)
 				}
-				n.Close()
 			})
 		})
 	}
--- a/io/backend/repeated_test.go
+++ b/io/backend/repeated_test.go
@@ -12,25 +12,14 @@
 	"bergamotspring/io/standin"
 )
 
-// withRepeater is withServer with a server that sends each response once more, when the next request
-// arrives on its connection.
-func withRepeater(t *testing.T, h http.Handler, f func(t *testing.T, c *Client)) {
-	synctest.Test(t, func(t *testing.T) {
-		n := &standin.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}
-		l, err := n.Listen("s:80")
-		if err != nil {
-			t.Fatal(err)
-		}
-		var r standin.Repeater
-		r.On.Store(true)
-		s := &http.Server{Handler: h}
-		go func() { _ = s.Serve(r.Wrap(l)) }()
-		base := time.Now()
-		c := &Client{Dial: n.Dialer("node"), Clock: Clock{Boot: func() time.Duration { return time.Since(base) }}}
+// whileRepeating runs f with a server that sends each response once more, when the next request arrives on
+// its connection.
+func whileRepeating(t *testing.T, h http.Handler, f func(t *testing.T, c *Client)) {
+	var r standin.Repeater
+	r.On.Store(true)
+	withRepeater(t, h, &r, func(t *testing.T, n *standin.Network, c *Client) {
+		n.Latency = func(string, string) time.Duration { return time.Millisecond }
 		f(t, c)
-		c.Close()
-		_ = s.Close()
-		time.Sleep(2 * time.Minute)
 	})
 }
 
@@ -48,7 +37,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			_, _ = w.Write([]byte(text))
 		})
-		withRepeater(t, h, func(t *testing.T, c *Client) {
+		whileRepeating(t, h, func(t *testing.T, c *Client) {
 			for i := range 4 {
 				_, err := c.Invoke(t.Context(), &Call{ID: fmt.Sprint("c", i), Address: "s:80"}, "encode", []byte(`"x"`))
 				if got, _ := kindOf(err); (got == Status) != (i == 0) {
@@ -64,7 +53,7 @@
 func TestServedWhileResponsesRepeat(t *testing.T) {
 	s := &standin.JSON{Service: 10 * time.Millisecond}
 	served := 0
-	withRepeater(t, s.Handler(), func(t *testing.T, c *Client) {
+	whileRepeating(t, s.Handler(), func(t *testing.T, c *Client) {
 		for i := range 20 {
 			id := fmt.Sprintf(`"x%d"`, i)
 			a, err := c.Invoke(t.Context(), &Call{ID: "c" + id, Address: "s:80"}, "encode", []byte(id))
@@ -85,7 +74,7 @@
 // A load report is that of now, not a copy of an earlier one.
 func TestRepeatedLoadReport(t *testing.T) {
 	e := &standin.Engine{}
-	withRepeater(t, e.Handler(), func(t *testing.T, c *Client) {
+	whileRepeating(t, e.Handler(), func(t *testing.T, c *Client) {
 		for _, cold := range []bool{true, false, true} {
 			e.SetCold(cold)
 			if l, err := c.Load(t.Context(), "s:80"); l.Cold != cold || err != nil {
@@ -97,7 +86,7 @@
 
 // An order is answered by its own response, not by a copy of that to an earlier order.
 func TestRepeatedOrderResponse(t *testing.T) {
-	withRepeater(t, (&standin.Engine{ChecksFencing: true}).Handler(), func(t *testing.T, c *Client) {
+	whileRepeating(t, (&standin.Engine{ChecksFencing: true}).Handler(), func(t *testing.T, c *Client) {
 		for _, o := range []struct {
 			fencing uint64
 			want    error
@@ -112,7 +101,7 @@
 // A copy of an earlier stream adds no token to the next one, and costs it one attempt at most.
 func TestRepeatedStream(t *testing.T) {
 	e := &standin.Engine{Prefill: 10 * time.Millisecond, Gap: time.Millisecond}
-	withRepeater(t, e.Handler(), func(t *testing.T, c *Client) {
+	whileRepeating(t, e.Handler(), func(t *testing.T, c *Client) {
 		for i := range 6 {
 			var a stage.Assembler
 			r := &Completion{Prompt: fmt.Appendf(nil, `"p%d"`, i), MaxTokens: 5, FirstTimeout: time.Second, Token: func(int, []byte) error { return nil }}
