io/edge: tests of crashing segments and of whole streams are tables

The five cases of requests that share a deadly segment stood in four tests, each with its own loops over servers and routes; the joined TestCrashingPromptSegment has a case for each: one sound segment, two (both were in it), responses that are no event streams (was ...OfWholeResponses), errors (was ...BesideErrors), streams without length and chunks (was ...OfUnframedStreams). The error of the fourth case now bears the mark of a server, as all errors of a server do. TestWholeBodyOfStreamedRoute is a case of TestWholeStreams, with its statement and, in addition, that of the single run.

--- a/io/edge/cutstreams_test.go
+++ b/io/edge/cutstreams_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"bergamotspring/io/standin"
 	platformstandin "bergamotspring/platform/standin"
 )
 
@@ -19,8 +20,8 @@
 // raw makes the servers of a kind send each of the responses once, in this order, and close.
 func (w *testFleet) raw(kind string, l ...rawResponse) {
 	var mu sync.Mutex
-	for _, d := range []string{"a", "b", "c"} {
-		w.servers[kind+"-"+d].Raw = func(x platformstandin.Run) string {
+	for _, s := range w.all(kind) {
+		s.Raw = func(x platformstandin.Run) string {
 			mu.Lock()
 			defer mu.Unlock()
 			if len(l) == 0 {
@@ -41,17 +42,9 @@
 
 const eventStream = "Content-Type: text/event-stream"
 
-// framings returns a response to a run that ends with its connection, one with a length and one in chunks.
+// framings returns a response to a run in each framing.
 func framings(x platformstandin.Run, status, body string, lines ...string) map[string]string {
-	chunk := ""
-	if body != "" {
-		chunk = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
-	}
-	return map[string]string{
-		"neither": head(x, status, lines...) + body,
-		"length":  head(x, status, append(lines, fmt.Sprint("Content-Length: ", len(body)))...) + body,
-		"chunks":  head(x, status, append(lines, "Transfer-Encoding: chunked")...) + chunk + "0\r\n\r\n",
-	}
+	return standin.Framings(strings.TrimSuffix(head(x, status, lines...), "\r\n"), body)
 }
 
 // A stream that ends inside an event, or without length and chunks before its first one, was broken off,
@@ -90,15 +83,18 @@
 }
 
 // A stream that ends after an event is whole, whatever its framing and line ends, also with a comment
-// after its last event.
+// after its last event. A response that is no event stream reaches the caller as it is.
 func TestWholeStreams(t *testing.T) {
-	for _, end := range []string{"\n", "\r\n", "\r"} {
+	stream := fullStream(6) + ": end\n"
+	for _, c := range []struct{ body, line string }{
+		{stream, eventStream}, {strings.ReplaceAll(stream, "\n", "\r\n"), eventStream}, {strings.ReplaceAll(stream, "\n", "\r"), eventStream},
+		{`{"a":1}`, "Content-Type: application/json"},
+	} {
 		for _, framing := range []string{"neither", "length", "chunks"} {
 			runFleet(t, func(w *testFleet) {
-				body := strings.ReplaceAll(fullStream(6)+": end\n", "\n", end)
-				w.raw("model", func(x platformstandin.Run) string { return framings(x, "200 OK", body, eventStream)[framing] })
-				if r := w.stream("a1", "/once/x", "once"); r.status != 200 || r.err != nil || r.body != body || w.runCount("once") != 1 {
-					t.Errorf("%s, %q: got %d %v %q after %d runs", framing, end, r.status, r.err, r.body, w.runCount("once"))
+				w.raw("model", func(x platformstandin.Run) string { return framings(x, "200 OK", c.body, c.line)[framing] })
+				if r := w.stream("a1", "/once/x", "once"); r.status != 200 || r.err != nil || r.body != c.body || w.runCount("once") != 1 {
+					t.Errorf("%s, %q: got %d %v %q after %d runs", framing, c.body, r.status, r.err, r.body, w.runCount("once"))
 				}
 			})
 		}
--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -114,10 +114,10 @@
 	for _, c := range []struct {
 		path, server, first string
 		want                float64
-	}{{"/read/x", "plain-", "1.00", 1}, {"/read/x", "plain-", "60", 1.32}, {"/draft/x", "model-", "1.00", 1}} {
+	}{{"/read/x", "plain", "1.00", 1}, {"/read/x", "plain", "60", 1.32}, {"/draft/x", "model", "1.00", 1}} {
 		runFleet(t, func(w *testFleet) {
-			for i, d := range []string{"b", "a", "c"} {
-				rejectFor(w.servers[c.server+d], []string{c.first, "90", "90"}[i])
+			for i, s := range w.all(c.server) {
+				rejectFor(s, []string{"90", c.first, "90"}[i])
 			}
 			var start time.Time
 			var r response
@@ -132,9 +132,9 @@
 			if err != nil || got > c.want+0.01 || got < c.want-0.3 || r.took > 20*time.Millisecond {
 				t.Errorf("%s: refused after %v with Retry-After %v, want %v at once", c.path, r.took, got, c.want)
 			}
-			for _, d := range []string{"a", "b", "c"} {
-				if n := arrivedSince(w.servers[c.server+d], start); n != 0 {
-					t.Errorf("%s: got %d requests at %s, want 0", c.path, n, d)
+			for _, s := range w.all(c.server) {
+				if n := arrivedSince(s, start); n != 0 {
+					t.Errorf("%s: got %d requests at %s, want 0", c.path, n, s.ID)
 				}
 			}
 		})
--- a/io/edge/joinedstreams_test.go
+++ b/io/edge/joinedstreams_test.go
@@ -63,13 +63,7 @@
 func testJoin(t *testing.T, fails rawResponse) {
 	t.Helper()
 	runFleet(t, func(w *testFleet) {
-		w.configure(2, func(c map[string]any) {
-			for _, r := range c["route-table"].([]any) {
-				if r := r.(map[string]any); r["name"] == "draft" {
-					r["max-attempts"] = 3
-				}
-			}
-		})
+		w.configureRoute(2, "draft", map[string]any{"max-attempts": 3})
 		w.raw("model", brokenAfterTwo, fails)
 		r := w.stream("a1", "/draft/x", "saved")
 		if r.status != 200 || r.err != nil || r.body != fullStream(6) || r.header.Get("X-Second") != "" {
@@ -95,20 +89,6 @@
 	})
 }
 
-// A response to a streamed request that is no event stream reaches the caller as it is.
-func TestWholeBodyOfStreamedRoute(t *testing.T) {
-	for _, framing := range []string{"neither", "length", "chunks"} {
-		runFleet(t, func(w *testFleet) {
-			w.raw("model", func(x platformstandin.Run) string {
-				return framings(x, "200 OK", `{"a":1}`, "Content-Type: application/json")[framing]
-			})
-			if r := w.stream("a1", "/once/x", "json"); r.status != 200 || r.err != nil || r.body != `{"a":1}` {
-				t.Errorf("%s: got %d %v %q", framing, r.status, r.err, r.body)
-			}
-		})
-	}
-}
-
 // A server sends another response inside its stream, or after its last event: that is no event, and the stream has
 // broken off before it.
 func TestResponseInsideStream(t *testing.T) {
--- a/io/edge/repeated_test.go
+++ b/io/edge/repeated_test.go
@@ -46,8 +46,8 @@
 func TestCopyOfResponseOnAnotherConnection(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		s := w.onlyServer("rank")
-		for _, d := range []string{"a", "b", "c"} {
-			w.servers["model-"+d].ServiceTime = 500 * time.Millisecond // the results are still in use
+		for _, s := range w.all("model") {
+			s.ServiceTime = 500 * time.Millisecond // the results are still in use
 		}
 		s.QueueFaults(platformstandin.FaultNone, platformstandin.FaultReject, platformstandin.FaultCopy)
 		var g sync.WaitGroup
--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -19,8 +19,7 @@
 // returns a function that returns the times of the crashes.
 func (w *testFleet) crashOnSegment(id string) func() []time.Time {
 	crashes := make(chan time.Time, 1000)
-	for _, d := range []string{"a", "b", "c"} {
-		s := w.servers["model-"+d]
+	for _, s := range w.all("model") {
 		ip, _, _ := net.SplitHostPort(s.Address)
 		s.FatalSegment = id
 		s.Crash = func() {
@@ -43,57 +42,62 @@
 // reach a server from 4 s after the fifth crash on, and from 8 s on requests with their other
 // segments are served at their first attempt.
 func TestCrashingPromptSegment(t *testing.T) {
-	for _, other := range []string{"aa:800", "aa:800,0e:300"} {
-		t.Run(other, func(t *testing.T) { runFleet(t, func(w *testFleet) { w.testCrashingSegment(t, other) }) })
+	const other = "aa:800"
+	for _, c := range []struct {
+		name, other string
+		prepare     func(*testFleet)
+	}{
+		{"one sound segment", other, func(*testFleet) {}},
+		{"two sound segments", "aa:800,0e:300", func(*testFleet) {}},
+		{"responses that are no event streams", other, (*testFleet).serveWholeResponses},
+		{"errors", other, (*testFleet).failEveryThird},
+		{"streams without length and chunks", other, (*testFleet).crashAfterFirstEvent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runFleet(t, func(w *testFleet) {
+				c.prepare(w)
+				w.testCrashingSegment(t, c.other)
+			})
+		})
 	}
 }
 
-// The same with responses that are no event streams.
-func TestCrashingPromptSegmentOfWholeResponses(t *testing.T) {
-	runFleet(t, func(w *testFleet) {
-		w.configure(2, func(c map[string]any) {
-			for _, r := range c["route-table"].([]any) {
-				if m := r.(map[string]any); m["name"] == "draft" {
-					m["route-kind"], m["resumable"] = "safe", false
-				}
-			}
-		})
-		time.Sleep(2 * time.Second)
-		w.testCrashingSegment(t, "aa:800")
-	})
+// serveWholeResponses makes the responses of model servers no event streams.
+func (w *testFleet) serveWholeResponses() {
+	w.configureRoute(2, "draft", map[string]any{"route-kind": "safe", "resumable": false})
+	time.Sleep(2 * time.Second)
 }
 
-// The same with servers that answer every third of these requests with an error before they run it.
-func TestCrashingPromptSegmentBesideErrors(t *testing.T) {
-	runFleet(t, func(w *testFleet) {
-		var n atomic.Int32
-		for _, d := range []string{"a", "b", "c"} {
-			w.servers["model-"+d].Raw = func(x platformstandin.Run) string {
-				if x.ID[0] != 'd' || n.Add(1)%3 != 0 {
-					return ""
-				}
-				return "HTTP/1.1 500 Internal Server Error\r\nX-Bergamotspring-Request-Id: " + x.ID + "\r\nContent-Length: 0\r\n\r\n"
-			}
+// failEveryThird makes model servers answer every third of the deadly requests with an error before they run it.
+func (w *testFleet) failEveryThird() {
+	var n atomic.Int32
+	w.answerDeadly(func(_ *platformstandin.Server, x platformstandin.Run) string {
+		if n.Add(1)%3 != 0 {
+			return ""
 		}
-		w.testCrashingSegment(t, "aa:800")
+		return head(x, "500 Internal Server Error", "Content-Length: 0")
 	})
 }
 
-// A stream with neither a length nor chunks that ends after its first event may have ended with its server.
-func TestCrashingPromptSegmentOfUnframedStreams(t *testing.T) {
-	runFleet(t, func(w *testFleet) {
-		for _, d := range []string{"a", "b", "c"} {
-			s := w.servers["model-"+d]
-			s.Raw = func(x platformstandin.Run) string {
-				if x.ID[0] != 'd' {
-					return ""
-				}
-				go s.Crash()
-				return "HTTP/1.1 200 OK\r\nX-Bergamotspring-Request-Id: " + x.ID + "\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: 1\n\n"
+// crashAfterFirstEvent makes model servers crash after the first event of a deadly request, whose stream, with
+// neither a length nor chunks, ends there.
+func (w *testFleet) crashAfterFirstEvent() {
+	w.answerDeadly(func(s *platformstandin.Server, x platformstandin.Run) string {
+		go s.Crash()
+		return head(x, "200 OK", eventStream) + fullStream(1)
+	})
+}
+
+// answerDeadly makes model servers send f's response, if any, to requests whose id begins with d.
+func (w *testFleet) answerDeadly(f func(*platformstandin.Server, platformstandin.Run) string) {
+	for _, s := range w.all("model") {
+		s.Raw = func(x platformstandin.Run) string {
+			if x.ID[0] != 'd' {
+				return ""
 			}
+			return f(s, x)
 		}
-		w.testCrashingSegment(t, "aa:800")
-	})
+	}
 }
 
 // prefix returns the header with the segments l and one that only request id has.
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -207,13 +207,7 @@
 // never outside the regions of their route.
 func TestPlacedInOtherRegion(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		w.configure(2, func(c map[string]any) {
-			for _, r := range c["route-table"].([]any) {
-				if r := r.(map[string]any); r["name"] == "once" {
-					r["home-regions"] = []string{"south"}
-				}
-			}
-		})
+		w.configureRoute(2, "once", map[string]any{"home-regions": []string{"south"}})
 		time.Sleep(time.Second)
 		var g sync.WaitGroup
 		for i := range 16 {
--- a/io/edge/testfleet_test.go
+++ b/io/edge/testfleet_test.go
@@ -157,6 +157,11 @@
 	})
 }
 
+// all returns the servers of a service, one of each failure domain.
+func (w *testFleet) all(service string) []*platformstandin.Server {
+	return []*platformstandin.Server{w.servers[service+"-a"], w.servers[service+"-b"], w.servers[service+"-c"]}
+}
+
 // configure writes a configuration, after change, if set, has edited it.
 func (w *testFleet) configure(version int, change func(map[string]any)) {
 	stages := []any{
@@ -198,6 +203,17 @@
 	w.store.Put("op", "config", c)
 }
 
+// configureRoute writes a configuration in which a route has the given settings.
+func (w *testFleet) configureRoute(version int, name string, settings map[string]any) {
+	w.configure(version, func(c map[string]any) {
+		for _, r := range c["route-table"].([]any) {
+			if r := r.(map[string]any); r["name"] == name {
+				maps.Copy(r, settings)
+			}
+		}
+	})
+}
+
 // start starts a node whose name begins with its failure domain.
 func (w *testFleet) start(name, ip string) {
 	at := func(port string) string { return net.JoinHostPort(ip, port) }
@@ -323,8 +339,8 @@
 // injectFault injects a fault into the next request to any model server.
 func (w *testFleet) injectFault(f platformstandin.Fault) {
 	var once sync.Once
-	for _, d := range []string{"a", "b", "c"} {
-		w.servers["model-"+d].SharedFault = func() platformstandin.Fault {
+	for _, s := range w.all("model") {
+		s.SharedFault = func() platformstandin.Fault {
 			x := platformstandin.FaultNone
 			once.Do(func() { x = f })
 			return x
