io/tables: errors name their package

They said platform:, the name of a package that is gone (docs/decisions/016). No test, page or program reads the texts.

Tests: go test -race ./io/tables ./io/node, golangci-lint.

--- a/io/tables/claims.go
+++ b/io/tables/claims.go
@@ -26,11 +26,11 @@
 
 // The causes of a *claim.RefusedError.
 var (
-	ErrTableDown      = errors.New("platform: the table service is down")
-	ErrClaimsFull     = errors.New("platform: too many claims waiting")
-	ErrClaimsClosed   = errors.New("platform: claims are closed")
-	ErrTableRegressed = errors.New("platform: the table service lost writes")
-	errContended      = errors.New("platform: the claim kept changing")
+	ErrTableDown      = errors.New("tables: the table service is down")
+	ErrClaimsFull     = errors.New("tables: too many claims waiting")
+	ErrClaimsClosed   = errors.New("tables: claims are closed")
+	ErrTableRegressed = errors.New("tables: the table service lost writes")
+	errContended      = errors.New("tables: the claim kept changing")
 )
 
 // Claims writes the claims of a node. Table and Node must be set before first use.
--- a/io/tables/client.go
+++ b/io/tables/client.go
@@ -61,7 +61,7 @@
 }
 
 func (e *SilentError) Error() string {
-	return "platform: no progress on the connection for " + e.After.String()
+	return "tables: no progress on the connection for " + e.After.String()
 }
 
 // StatusError reports a response whose status the protocol does not define.
@@ -71,7 +71,7 @@
 }
 
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("platform: unexpected status %d: %s", e.Status, e.Body)
+	return fmt.Sprintf("tables: unexpected status %d: %s", e.Status, e.Body)
 }
 
 // TooLargeError reports a response of more than Limit bytes.
@@ -80,7 +80,7 @@
 }
 
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("platform: answer exceeds %d bytes", e.Limit)
+	return fmt.Sprintf("tables: response exceeds %d bytes", e.Limit)
 }
 
 // response is the result of one exchange.
--- a/io/tables/table.go
+++ b/io/tables/table.go
@@ -88,7 +88,7 @@
 }
 
 // errForeign reports a response that names keys for which it was not asked.
-var errForeign = errors.New("platform: response to another request")
+var errForeign = errors.New("tables: response to another request")
 
 // foreign closes the idle connections, since the response that was asked for may still come on one, and
 // returns errForeign.
