io/operator: the test of sent changes needs no port

TestSentOverTCP dialled a port that it had just released to see a refused connection, which another process of the machine may have bound by then. It runs on the in-memory network now, with the same TLS and the same three statements (TestSentOverTLS).

Trials on a scratch copy, before and after alike: the test fails if a change always counts as sent, and if it never does. It passed 20 times in a row with the race detector.

--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"bergamotspring/core/fleet"
+	"bergamotspring/io/standin"
 	"bergamotspring/schema"
 	"bergamotspring/schema/setting"
 )
@@ -162,28 +163,34 @@
 	}
 }
 
-// Guards against the same faults over a real connection: after an untrusted certificate
+// Guards against the same faults over a connection with TLS: after an untrusted certificate
 // or a refused connection nothing has changed; if the connection broke after the
 // request was sent, the change may have taken effect.
-func TestSentOverTCP(t *testing.T) {
-	broken := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
-	broken.Config.ErrorLog = log.New(io.Discard, "", 0) // the failures are intended
+func TestSentOverTLS(t *testing.T) {
+	n := &standin.Network{}
+	defer n.Close()
+	l, err := n.Listen("127.0.0.1:443") // the address in the server's certificate
+	if err != nil {
+		t.Fatal(err)
+	}
+	abort := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	broken := &httptest.Server{Listener: l, Config: &http.Server{Handler: abort, ErrorLog: log.New(io.Discard, "", 0)}} // the failures are intended
 	broken.StartTLS()
 	defer broken.Close()
-	gone := httptest.NewServer(http.NotFoundHandler())
-	gone.Close()
-	cases := []struct {
-		name string
-		c    Client
-		want bool
+	trusting := broken.Client().Transport.(*http.Transport)
+	for _, k := range []struct {
+		name, url string
+		transport *http.Transport
+		want      bool
 	}{
-		{"broken", Client{URL: broken.URL, HTTP: broken.Client()}, true},
-		{"untrusted", Client{URL: broken.URL, HTTP: &http.Client{Transport: &http.Transport{}}}, false},
-		{"refused", Client{URL: gone.URL, HTTP: &http.Client{Transport: &http.Transport{}}}, false},
-	}
-	for _, k := range cases {
+		{"broken", broken.URL, trusting, true},
+		{"untrusted", broken.URL, &http.Transport{}, false},
+		{"refused", "https://127.0.0.1:444", trusting, false},
+	} {
+		k.transport.DialContext = n.Dialer("127.0.0.1")
+		c := Client{URL: k.url, HTTP: &http.Client{Transport: k.transport}}
 		var u *UnreachableError
-		_, err := k.c.Apply(context.Background(), ApplyRequest{ID: "a", Reason: "r", Declaration: exampleDeclaration(t)})
+		_, err := c.Apply(context.Background(), ApplyRequest{ID: "a", Reason: "r", Declaration: exampleDeclaration(t)})
 		if !errors.As(err, &u) || u.Sent != k.want {
 			t.Errorf("%s: got %v, want sent %v", k.name, err, k.want)
 		}
