--- a/schema/decode_test.go
+++ b/schema/decode_test.go
@@ -58,6 +58,23 @@
 	}
 }
 
+// storeAndLoad returns the stored form of a declaration and what is read from it, which must be the same.
+func storeAndLoad(t *testing.T, d *fleet.Declaration) ([]byte, *fleet.Declaration) {
+	t.Helper()
+	b, err := Pack(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := Unpack(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := fleet.Diff(d, e); len(got) > 0 {
+		t.Errorf("%s: changed by storage: %v", d.Name, got)
+	}
+	return b, e
+}
+
 // Guards against a field that one direction of the codec omits, and against a stored
 // form that differs between two encodings of one declaration.
 func TestExamplesRoundTrip(t *testing.T) {
@@ -66,17 +83,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		b, err := Pack(d)
-		if err != nil {
-			t.Fatal(err)
-		}
-		e, err := Unpack(b)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got := fleet.Diff(d, e); len(got) > 0 {
-			t.Errorf("%s: changed by storage: %v", n, got)
-		}
+		b, e := storeAndLoad(t, d)
 		c, err := Pack(e)
 		if err != nil || !bytes.Equal(b, c) {
 			t.Errorf("%s: two encodings differ (error %v)", n, err)
@@ -110,17 +117,7 @@
 		if err != nil {
 			return
 		}
-		p, err := Pack(d)
-		if err != nil {
-			t.Fatal(err)
-		}
-		e, err := Unpack(p)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got := fleet.Diff(d, e); len(got) > 0 {
-			t.Errorf("changed by storage: %v", got)
-		}
+		storeAndLoad(t, d)
 	})
 }
 
