--- a/core/relay/cache.go
+++ b/core/relay/cache.go
@@ -28,7 +28,7 @@
 	expiring      map[string]time.Time // removed entries and when they expire
 	reconnectedAt time.Time            // when the last outage of the store ended
 	leaving       map[string]leavingMark
-	gone          map[string]time.Time // when entries were removed
+	gone          map[string]time.Time // when entries were removed, for leavingTTL
 	view          *View
 }
 
--- a/core/relay/leaving.go
+++ b/core/relay/leaving.go
@@ -137,8 +137,8 @@
 	s.leaving[id] = m
 }
 
-// expireMarks removes the marks of processes whose entries have been unknown for leavingTTL.
-// The lock is held.
+// expireMarks removes the marks of processes whose entries have been unknown for leavingTTL, and
+// forgets entries that have been gone for as long. The lock is held.
 func (s *Cache) expireMarks() {
 	for id, m := range s.leaving {
 		if !m.removedAt.IsZero() && s.now().Sub(m.removedAt) > leavingTTL {
