--- a/io/exchange/cut_test.go
+++ b/io/exchange/cut_test.go
@@ -64,7 +64,6 @@
 func TestResponseOverHTTP10(t *testing.T) {
 	for framing, rest := range bodies {
 		run(t, func(s *script) {
-			s.requests = nil
 			for n := range 2 {
 				s.responses <- fmt.Sprintf("HTTP/1.0 200 OK\r\nId: %d\r\nConnection: keep-alive\r\n%s", n, rest) + cut
 				if status, b, err := s.do(context.Background(), fmt.Sprint(n)); status != 200 || b != "hello" || err != nil || s.conns != n+1 {
