core/suspect: one request now and then tries a culprit, for all nodes

Sound segments that happened to be on three crashed servers are refused; nothing runs with them any more, so no response clears them, and unless another culprit explains their crashes, callers are refused for as long as they ask more than once a minute.

Cause: a culprit is released by responses, later crashes of others, or a minute of silence alone.

The node that registered first among those that respond grants the trials, in a message of its own (protocol version 4). A node that adopted the culprit from another cannot know what came of trials, and grants none; so restarts add none. Requests that are culprits by themselves are not tried.

Weighed: turns by roster and culprit without a message: in a fleet of 300 nodes with one such request a second a turn of 5 s meets a request one time in 60, and a caller that keeps to one node waits for a whole round. A memory of segments that had responses of late, as evidence from before the crash: a segment that turns deadly with a release would go uncounted for as long as the memory lasts, and nothing would release the rest.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -169,6 +169,20 @@
 	return l
 }
 
+// Oldest returns the node that responds and registered first. It has run longest, as a node that restarts
+// registers anew.
+func (r *Roster) Oldest() (Node, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var oldest Node
+	for _, n := range r.nodes {
+		if r.rank(n) == 0 && (oldest.Peer == "" || n.Order < oldest.Order) {
+			oldest = n
+		}
+	}
+	return oldest, oldest.Peer != ""
+}
+
 // Others returns the nodes that are not in a region.
 func (r *Roster) Others(region string) []Node {
 	return slices.DeleteFunc(slices.Clone(r.All()), func(n Node) bool { return n.Region == region })
--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -42,6 +42,7 @@
 	searchedAt time.Time
 	culprits   []Culprit // found in crashes, then those adopted
 	notices    notices   // of all culprits
+	trials     trials
 	watchers   map[*watcher]struct{}
 }
 
@@ -303,6 +304,7 @@
 	own := findCulprits(c.crashes)
 	c.notices.setOwn(own, c.crashes)
 	c.culprits = append(own, c.notices.adopted(own)...)
+	c.trials.retain(c.culprits)
 	found, released := missing(old, c.culprits), missing(c.culprits, old)
 	if len(found)+len(released) == 0 {
 		return func() {}
--- a/core/suspect/notices.go
+++ b/core/suspect/notices.go
@@ -103,6 +103,15 @@
 	return l
 }
 
+// crashedAt returns when a culprit last crashed a server.
+func (t *notices) crashedAt(k Culprit) time.Time {
+	i := slices.IndexFunc(t.l, func(x Notice) bool { return x.same(k) })
+	if i < 0 {
+		return time.Time{}
+	}
+	return t.l[i].CrashedAt
+}
+
 // renew records that a request was refused for a culprit.
 func (t *notices) renew(k Culprit, now time.Time) {
 	for i := range t.l {
--- a/io/edge/culprits.go
+++ b/io/edge/culprits.go
@@ -25,6 +25,8 @@
 	culpritPeers = 2
 	// culpritTimeout bounds one exchange.
 	culpritTimeout = 800 * time.Millisecond
+	// trialTimeout bounds the question for a trial, for which a request waits.
+	trialTimeout = 300 * time.Millisecond
 	// startAskInterval is how often a node that has started asks others until one answers.
 	startAskInterval = 100 * time.Millisecond
 	// startAskTime is how long it asks in all. The first nodes to answer may have just started, too.
@@ -98,3 +100,29 @@
 	}
 	return l
 }
+
+// takeTrial reports whether a request may run that is refused for a culprit. The node that has run longest
+// grants trials to all.
+func (n *Node) takeTrial(r suspect.Request) bool {
+	m := n.mesh.Load()
+	arbiter, ok := n.roster.Oldest()
+	if m == nil || !ok {
+		return false
+	}
+	if arbiter.Peer == n.self.Peer {
+		return n.crashes.GrantTrial(r) == 0
+	}
+	if !n.crashes.AskTrial(r) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
+	defer cancel()
+	wait, err := m.AskTrial(ctx, arbiter.Peer, r)
+	if err != nil {
+		n.roster.MarkSilent(arbiter.Peer)
+		n.Log.Info("trial_not_asked", zap.String("peer", arbiter.Peer), zap.Error(err))
+		return false
+	}
+	n.crashes.DelayTrial(r, wait)
+	return wait == 0
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -232,7 +232,7 @@
 		Pool: &n.pool, Schedule: n.schedulerClient.place, Report: n.schedulerClient.report,
 		Guard: n.serverGuard.guard, HoldOff: n.serverGuard.holdOff,
 		CountFirst: n.requestRetries.countFirst, TakeRetry: n.requestRetries.takeRetry,
-		Suspects: &n.crashes, OnBroken: n.onBroken, OnResponse: n.onResponse, OnSuccess: n.onSuccess, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
+		Suspects: &n.crashes, OnBroken: n.onBroken, OnResponse: n.onResponse, OnSuccess: n.onSuccess, TakeTrial: n.takeTrial, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
 		EndPlacements: n.drain.placements, EndRequests: n.drain.requests,
 	}
 	return &http.Server{
@@ -264,6 +264,7 @@
 		Report:   n.scheduler.report,
 		Crash:    n.onCrashReport,
 		Culprits: n.onCulprits,
+		Trial:    n.crashes.GrantTrial,
 		Tables:   n.tableFollower.serve,
 	}.Register(m)
 	if _, _, err := m.Serve(n.Settings.Peer); err != nil {
--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bergamotspring/io/standin"
@@ -187,3 +188,33 @@
 	}
 	return runs
 }
+
+// Requests with a culprit are tried one at a time, long after its last crash: one that crashes no servers is
+// released, and a deadly one crashes a single server more.
+func TestCulpritIsTried(t *testing.T) {
+	for _, deadly := range []bool{false, true} {
+		t.Run(fmt.Sprint("deadly ", deadly), func(t *testing.T) {
+			runFleet(t, func(w *testFleet) {
+				crashes := w.crashOnSegment("dead")
+				nodes := []string{"a1", "b1", "c1", "a2"}
+				for n := 0; len(crashes()) < 3; n++ {
+					w.sendDeadly(fmt.Sprint("d", n, "-"), nodes[n%4:], 1)
+				}
+				synctest.Wait()
+				for _, d := range []string{"a", "b", "c"} {
+					if !deadly {
+						w.servers["model-"+d].FatalSegment = ""
+					}
+				}
+				before := len(crashes())
+				early := w.sendDeadly("e", nodes, 10)
+				if late := w.sendDeadly("f", nodes, 60); !deadly && late < 60 {
+					t.Errorf("%d of 60 requests served, %d runs before", late, early)
+				}
+				if got := len(crashes()) - before; deadly && got != 1 {
+					t.Errorf("%d crashes by trials, want 1", got)
+				}
+			})
+		})
+	}
+}
--- a/io/peer/culprits.go
+++ b/io/peer/culprits.go
@@ -21,6 +21,17 @@
 	return noticesOf(w, time.Now()), each(w.Cleared, suspectOf), nil
 }
 
+// AskTrial asks the node at an address for a trial of a request that is refused for what crashes servers. It
+// returns 0 if it was granted, or how long to ask no more.
+func (m *Mesh) AskTrial(ctx context.Context, to string, r suspect.Request) (wait time.Duration, err error) {
+	var w wire.CrashTrial
+	b := wireSuspect(r)
+	if err := m.Call(ctx, to, TypeCrashTrial, &b, TypeCrashTrial, &w); err != nil {
+		return 0, err
+	}
+	return duration(w.Wait), nil
+}
+
 func wireCulprits(l []suspect.Notice, cleared []suspect.Request, now time.Time) *wire.CrashCulprits {
 	return &wire.CrashCulprits{Cleared: each(cleared, wireSuspect), Culprits: each(l, func(n suspect.Notice) wire.CrashCulprit {
 		return wire.CrashCulprit{
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -48,6 +48,7 @@
 	TypeCrash
 	TypePlaceProgress
 	TypeCrashCulprits
+	TypeCrashTrial
 
 	typeEnd // one more than the last type
 )
--- a/io/peer/placement.go
+++ b/io/peer/placement.go
@@ -14,7 +14,7 @@
 
 // PlacementProtocol is the version of the messages of PlacementHandlers. Nodes state it when they
 // register, and exchange these messages only with nodes of the same version.
-const PlacementProtocol = 3
+const PlacementProtocol = 4
 
 // PlacementHandlers handles the messages of other nodes on the users' platform. All fields
 // must be set.
@@ -31,6 +31,9 @@
 	// Culprits merges what another node knows to crash servers, and returns what this one
 	// knows and what of the other's was cleared.
 	Culprits func(from string, l []suspect.Notice) (known []suspect.Notice, cleared []suspect.Request)
+	// Trial grants a trial of a request that is refused for what crashes servers, or returns
+	// how long to ask no more.
+	Trial func(r suspect.Request) (wait time.Duration)
 	// Tables responds to a query for tables of the store. Respond may be called later, from
 	// any goroutine.
 	Tables func(q TablesQuery, respond func(Tables))
@@ -52,6 +55,9 @@
 		known, cleared := h.Culprits(r.From.Node, noticesOf(b, time.Now()))
 		reply(r, TypeCrashCulprits, wireCulprits(known, cleared, time.Now()))
 	})
+	handle(m, TypeCrashTrial, true, func(r *Request, b wire.CrashRequest) {
+		reply(r, TypeCrashTrial, &wire.CrashTrial{Wait: micros(h.Trial(suspectOf(b)))})
+	})
 	handle(m, TypeMirrorAsk, true, func(r *Request, b wire.MirrorAsk) {
 		h.Tables(tablesQueryOf(b, time.Now()), func(t Tables) { reply(r, TypeMirror, wireTables(t, time.Now())) })
 	})
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -88,6 +88,8 @@
 	Suspects              *suspect.Counter
 	OnBroken              func(r suspect.Request, t *relay.Server)
 	OnResponse, OnSuccess func(r suspect.Request)
+	// TakeTrial reports whether a request may run that Suspects refuses: of all nodes, one does now and then.
+	TakeTrial func(r suspect.Request) bool
 	// OnEnd is called at the end of each request that matched a route.
 	OnEnd func(Result)
 	// Sample reports whether a request that ended normally is logged.
@@ -120,12 +122,13 @@
 	out      http.ResponseWriter
 	ending   ending
 
-	attempt    int    // placement requests before the current one
-	sends      int    // sends that a server may have read
-	lastServer string // server of the last send
-	events     int    // events sent to the caller
-	mayHaveRun bool   // a server may have run the request
-	headerSent bool   // the response header was written
+	trialAt    time.Time // when a trial was granted; zero: never
+	attempt    int       // placement requests before the current one
+	sends      int       // sends that a server may have read
+	lastServer string    // server of the last send
+	events     int       // events sent to the caller
+	mayHaveRun bool      // a server may have run the request
+	headerSent bool      // the response header was written
 }
 
 // ServeHTTP serves one request.
--- a/io/proxy/suspect.go
+++ b/io/proxy/suspect.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -21,6 +22,9 @@
 // sends it.
 const provenReads = 2
 
+// maxTrialDelay is how long after it was granted a trial may still begin. Others may follow later.
+const maxTrialDelay = 5 * time.Second
+
 // suspect returns what of the request may crash servers.
 func (q *request) suspect() suspect.Request {
 	if q.hash == 0 {
@@ -43,7 +47,7 @@
 // whether it did. It is called before each send; a placement, if there is one, is given up.
 func (q *request) refusePoison(g *placement.Decision) bool {
 	k, ok := q.server.Suspects.IsPoison(q.suspect())
-	if !ok {
+	if !ok || q.onTrial() {
 		return false
 	}
 	if g != nil {
@@ -54,6 +58,18 @@
 	return true
 }
 
+// onTrial reports whether the request runs although it may crash servers. It is sent once, and soon.
+func (q *request) onTrial() bool {
+	if q.sends > 0 {
+		return false
+	}
+	if q.trialAt.IsZero() && q.server.TakeTrial(q.suspect()) {
+		q.trialAt = time.Now()
+		q.log("trial")
+	}
+	return time.Since(q.trialAt) < maxTrialDelay
+}
+
 // reportBroken reports that a server may have crashed while it ran the request.
 func (q *request) reportBroken(a *attempt, t *relay.Server) {
 	if a.notRun {
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -167,6 +167,12 @@
 	Segments []int `msgpack:"segments"`
 }
 
+// Responds to a CrashRequest that is refused, and of which a trial is asked for.
+type CrashTrial struct {
+	// Microseconds during which not to ask again; 0: the request may run.
+	Wait int `msgpack:"wait"`
+}
+
 // Gossip that a node sends to a few random peers each second.
 type Digest struct {
 	// Confirmed corresponds to the JSON schema field "confirmed".
