io/edge: a server that listens again before it is probed has crashed if its process is another one

A deadly prompt segment goes on to crash servers that are back at once, as a supervisor restarts them: the probe finds a listener, and the crash does not count. The same holds if the server comes back under another id at its address.

Cause: a refused connection was the only sign of a crash.

The entry of another process - another start under its id, or a later start at its address - counts it as a crash; so does a crash of the server that another node reports, in the same moment, so that it counts once. Responses meanwhile clear segments of what is kept. Servers that are known to leave are not kept. Silence without a refusal still says nothing: servers that are silent and start anew have been cut off or lost together.

--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -14,36 +14,11 @@
 	"bergamotspring/io/exchange"
 )
 
-// brokenRequests collects the requests that servers broke off, by server, so that one probe and
-// one report do for all that a crash broke off at the same time. The zero value is ready to use.
-type brokenRequests struct {
-	mu       sync.Mutex
-	byServer map[string][]suspect.Request
-}
-
-// add adds a request, and reports whether it is the first one of the server.
-func (b *brokenRequests) add(server string, r suspect.Request) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.byServer == nil {
-		b.byServer = map[string][]suspect.Request{}
-	}
-	b.byServer[server] = append(b.byServer[server], r)
-	return len(b.byServer[server]) == 1
-}
-
-// take removes and returns the requests of a server.
-func (b *brokenRequests) take(server string) []suspect.Request {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	l := b.byServer[server]
-	delete(b.byServer, server)
-	return l
-}
-
 // onBroken checks in the background whether a server that broke off a request has crashed. A
-// refused connection means that no process listens there any more.
+// refused connection means that no process listens there any more. If one listens, its entry tells later
+// whether it is another one.
 func (n *Node) onBroken(r suspect.Request, t *relay.Server) {
+	p := n.cache.Process(t)
 	if !n.broken.add(t.ID, r) {
 		return // a probe is in progress
 	}
@@ -51,20 +26,37 @@
 		err := n.pool.Probe(context.Background(), t.Address)
 		l := n.broken.take(t.ID)
 		u, ok := errors.AsType[*exchange.UnsentError](err)
-		if !ok || !u.Refused {
-			return
-		}
-		for _, r := range l {
-			k := suspect.Culprit{Segments: r.Segments}
-			n.Log.Warn("server_crashed", zap.String("server", t.ID), zap.Uint64("fingerprint", r.Fingerprint), zap.Strings("segments", k.SegmentNames()))
+		switch {
+		case ok && u.Refused:
+			n.countCrash(t.ID, append(l, n.broken.crashed(t.ID)...))
+		case err == nil && !n.cache.Withdrawn(p):
+			n.broken.keep(listening{process: p, address: t.Address, since: time.Now(), requests: l})
+			now := n.cache.Process(&relay.Server{ID: t.ID})
+			n.onServerEntry(&relay.Server{ID: t.ID, Address: t.Address, StartedAt: now.StartedAt}) // it may have come already
 		}
-		n.crashes.ObserveCrash(t.ID, l)
-		n.sendCrashReport(t.ID, l)
 	})
 }
 
+// countCrash counts the crash of a server that broke off requests, and reports it.
+func (n *Node) countCrash(server string, l []suspect.Request) {
+	for _, r := range l {
+		k := suspect.Culprit{Segments: r.Segments}
+		n.Log.Warn("server_crashed", zap.String("server", server), zap.Uint64("fingerprint", r.Fingerprint), zap.Strings("segments", k.SegmentNames()))
+	}
+	n.crashes.ObserveCrash(server, l)
+	n.sendCrashReport(server, l)
+}
+
+// onServerEntry counts the crash of a server whose place another process has taken.
+func (n *Node) onServerEntry(s *relay.Server) {
+	for id, l := range n.broken.replaced(s, time.Now()) {
+		n.countCrash(id, l)
+	}
+}
+
 // onSuccess clears what was counted against a request and its segments.
 func (n *Node) onSuccess(r suspect.Request) {
+	n.broken.clear(r)
 	if n.crashes.ObserveSuccess(r) {
 		n.sendCrashReport("", []suspect.Request{r})
 	}
@@ -72,7 +64,9 @@
 
 // onResponse clears what was counted against the segments of a request.
 func (n *Node) onResponse(r suspect.Request) {
-	if r.Fingerprint = 0; n.crashes.ObserveResponse(r) {
+	r.Fingerprint = 0
+	n.broken.clear(r)
+	if n.crashes.ObserveResponse(r) {
 		n.sendCrashReport("", []suspect.Request{r})
 	}
 }
@@ -82,6 +76,9 @@
 func (n *Node) onCrashReport(server string, requests []suspect.Request) {
 	if server != "" {
 		n.crashes.ObserveCrash(server, requests)
+		if l := n.broken.crashed(server); len(l) > 0 {
+			n.countCrash(server, l)
+		}
 		return
 	}
 	for _, r := range requests {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -163,6 +163,7 @@
 	n.tableCache = tableCache{
 		settings: s, store: &n.store, cache: &n.cache, roster: &n.roster, log: n.Log,
 		onConfirm: n.tableFollower.onConfirm, onResponse: n.tableFollower.onStoreResponse, onFailure: n.tableFollower.onStoreFailure,
+		onServer: n.onServerEntry,
 	}
 	n.tableCache.init()
 	n.schedulerClient = schedulerClient{self: s.Peer, stopping: n.stopping.Load, region: s.Region, roster: &n.roster, mesh: n.mesh.Load, scheduler: &n.scheduler, log: n.Log}
--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -218,3 +218,28 @@
 		})
 	}
 }
+
+// Servers that crash and listen again before they are probed, as a new process, count as crashed.
+func TestCrashingPromptSegmentOfServersBackAtOnce(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		runs := w.crashOnSegment("dead")
+		for i, d := range []string{"a", "b", "c"} {
+			s, started := w.servers["model-"+d], 1000*i+1
+			w.registerProcess(s, "model", d, started, 1)
+			crash := s.Crash
+			s.Crash = func() {
+				crash()
+				ip, _, _ := net.SplitHostPort(s.Address)
+				w.net.SetHost(ip, standin.HostUp)
+				started++
+				w.registerProcess(s, "model", d, started, 1)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		all := []string{"a1", "b1", "c1", "a2"}
+		w.sendDeadly("d", all, 8)
+		if got := w.sendDeadly("e", all, 4); got > 0 {
+			t.Errorf("%d runs of 4 requests that crash servers, after %d crashes", got, len(runs()))
+		}
+	})
+}
--- a/io/edge/tablecache.go
+++ b/io/edge/tablecache.go
@@ -36,6 +36,8 @@
 	// onResponse and onFailure are called when the store has responded with servers' entries, before they
 	// are merged, and when it did not.
 	onResponse, onFailure func(at time.Time)
+	// onServer is called after the new or changed entry of a server was cached.
+	onServer func(*relay.Server)
 
 	reading                  readSwitch
 	operator, servers, nodes *tableWatch
@@ -144,8 +146,8 @@
 		}
 		if s == nil {
 			b.cache.Delete(k)
-		} else if o := b.cache.Put(s); len(keys) <= manyEntries {
-			b.logServerChange(o, s)
+		} else {
+			b.putServer(s, len(keys) <= manyEntries)
 		}
 		if !ok && len(keys) <= manyEntries {
 			b.log.Info("server_entry_gone", zap.String("server", k))
@@ -153,6 +155,14 @@
 	}
 }
 
+func (b *tableCache) putServer(s *relay.Server, logged bool) {
+	o := b.cache.Put(s)
+	if logged {
+		b.logServerChange(o, s)
+	}
+	b.onServer(s)
+}
+
 // logServerChange logs an entry that is new (o is nil), or whose server is leaving, came back,
 // changed its address or became cold.
 func (b *tableCache) logServerChange(o, s *relay.Server) {
