core/suspect: the loss of a failure domain that shows over seconds counts as two crashes at most

Nodes notice the servers of a lost failure domain one after the other. Reports that spread over three groups of 300 ms condemned the segments that were popular there, and those over three of 50 ms equal requests; callers with them were refused until a trial, or for good.

Cause: crashes count once only if their reports come close together, whichever servers they are about.

Change: the receiving node knows the failure domain of each server (Counter.Domain). For a segment or a request, at most two groups of crashes of one domain count within 3 s of the first one. A deadly segment is mostly sent to several domains, and is found as before; in a single domain it is found at the first crash after these 3 s, which is sooner than users' bound of 4 s after the fifth crash. No message changes. Servers whose entry is gone as the report arrives have no domain and count as before.

Evidence: TestCounterSparesLostDomain, before: the segment on four servers of one domain, lost over 1.8 s, was refused.

--- a/core/relay/cache.go
+++ b/core/relay/cache.go
@@ -52,6 +52,16 @@
 	return s.view
 }
 
+// Domain returns the failure domain of a server, empty if it is not known.
+func (s *Cache) Domain(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x := s.servers[id]; x != nil {
+		return x.Domain
+	}
+	return ""
+}
+
 // Install stores a configuration unless the known one is as new or newer, and reports
 // whether it did.
 func (s *Cache) Install(c *Configuration) bool {
--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -32,6 +32,8 @@
 // use, with a clock that stands still. It is safe for concurrent use.
 type Counter struct {
 	Now func() time.Time
+	// Domain, if set, returns the failure domain of a server, empty if it is not known.
+	Domain func(server string) string
 	// OnFound, if set, is called when a culprit is found, OnReleased when it is none any more.
 	OnFound, OnReleased func(Culprit)
 
@@ -49,6 +51,7 @@
 // crash is one crash of a server.
 type crash struct {
 	server   string
+	domain   string    // failure domain, empty: unknown
 	at       time.Time // first report
 	usedAt   time.Time // last resend of its culprit
 	requests []Request // in flight, without segments that were cleared
@@ -103,6 +106,9 @@
 		}
 	}
 	x := &crash{server: server, at: c.now(), usedAt: c.now()}
+	if c.Domain != nil {
+		x.domain = c.Domain(server)
+	}
 	c.crashes = append(c.crashes, x)
 	return x
 }
--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -213,3 +213,21 @@
 		}
 	}
 }
+
+// A failure domain that is lost is seen server by server: its crashes do not condemn what its servers ran, but those
+// of a deadly segment that is sent to one domain do, once they go on.
+func TestCounterSparesLostDomain(t *testing.T) {
+	c := newTestCounter(t)
+	c.Domain = func(server string) string { return server[:1] }
+	for i, s := range []string{"a1", "a2", "a3", "a4"} {
+		c.now = c.now.Add(600 * time.Millisecond)
+		c.ObserveCrash(s, []Request{req(uint64(i), first), req(70)})
+	}
+	c.check("on the servers of a lost domain", req(9, first), false)
+	c.check("equal requests there", req(70), false)
+	c.now = c.now.Add(time.Minute)
+	for i, s := range []string{"b1", "b2", "b3", "b4"} {
+		c.crash(s, req(uint64(20+i), dead))
+	}
+	c.check("goes on", req(9, dead), true)
+}
--- a/core/suspect/culprit.go
+++ b/core/suspect/culprit.go
@@ -22,6 +22,10 @@
 	crashGap = 300 * time.Millisecond
 	// requestGap is the same for equal requests, one of which may be resent at once.
 	requestGap = 50 * time.Millisecond
+	// lossSpan is how long the loss of a failure domain may take to show: nodes notice it one after the
+	// other. Within it, at most lossGroups groups of the domain's crashes count.
+	lossSpan   = 3 * time.Second
+	lossGroups = 2
 	// otherCompany is the number of crashes, crashGap apart, without a culprit's segments that show
 	// that others, which were in its crashes too, are enough.
 	otherCompany = 2
@@ -135,15 +139,46 @@
 	groups    int // crashes that are a gap apart
 	group     int // the last one
 	byRequest map[uint64]int
+	domains   []domainTally
+}
+
+// domainTally counts the groups of crashes of a failure domain within lossSpan.
+type domainTally struct {
+	domain string
+	since  time.Time
+	groups int
 }
 
 // add adds a crash of a group.
-func (t *tally) add(group int) {
+func (t *tally) add(group int, x *crash) {
 	t.crashes++
-	if t.group != group {
-		t.group = group
-		t.groups++
+	if t.group == group {
+		return
+	}
+	t.group = group
+	if t.mayBeLoss(x) {
+		return
+	}
+	t.groups++
+}
+
+// mayBeLoss reports whether the crash that begins a group may be part of the loss of its failure domain, of
+// which enough has been counted.
+func (t *tally) mayBeLoss(x *crash) bool {
+	if x.domain == "" {
+		return false
+	}
+	i := slices.IndexFunc(t.domains, func(d domainTally) bool { return d.domain == x.domain })
+	if i < 0 {
+		i = len(t.domains)
+		t.domains = append(t.domains, domainTally{domain: x.domain, since: x.at})
+	}
+	d := &t.domains[i]
+	if x.at.Sub(d.since) >= lossSpan {
+		d.since, d.groups = x.at, 0
 	}
+	d.groups++
+	return d.groups > lossGroups
 }
 
 // grouped returns the crashes, each with the number, from 1 on, of its group. Groups begin at least gap
@@ -220,7 +255,7 @@
 					continue
 				}
 				seen[s] = true
-				t.add(group)
+				t.add(group, x)
 			}
 		}
 	}
@@ -253,7 +288,7 @@
 			if m[r.Fingerprint] == nil {
 				m[r.Fingerprint] = &tally{}
 			}
-			m[r.Fingerprint].add(group)
+			m[r.Fingerprint].add(group, x)
 		}
 	}
 	var best Culprit
--- a/core/suspect/trial.go
+++ b/core/suspect/trial.go
@@ -128,12 +128,14 @@
 // was refused everywhere by then. The lock is held.
 func (c *Counter) trialCrashes(k Culprit) int {
 	l := slices.DeleteFunc(slices.Clone(c.crashes), func(x *crash) bool { return !slices.ContainsFunc(x.requests, k.matches) })
-	n, groups, last := 0, 0, time.Time{}
+	var t tally
+	n, last := 0, time.Time{}
 	for group, x := range grouped(l, crashGap) {
-		if groups >= poisonThreshold && x.at.Sub(last) >= trialDelay {
+		if t.groups >= poisonThreshold && x.at.Sub(last) >= trialDelay {
 			n++
 		}
-		groups, last = group, x.at
+		t.add(group, x)
+		last = x.at
 	}
 	return n
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -2,8 +2,8 @@
 // connects to the other nodes, schedules requests while it is the coordinator of its region,
 // and serves callers.
 //
-// No lock is held during I/O. The locks of the scheduler, the table watches, the table follower and
-// the connection pool are taken before those of the caches, the roster and the retry budgets, that of
+// No lock is held during I/O. The locks of the scheduler, the table watches, the table follower, the
+// counter of crashes and the connection pool are taken before those of the caches, the roster and the retry budgets, that of
 // the balancer before that of the hold-offs; the others are taken one at a time.
 package edge
 
@@ -147,6 +147,7 @@
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.cache.Now, n.roster.Now = time.Now, time.Now
 	n.sampler.now, n.crashes.Now = time.Now, time.Now
+	n.crashes.Domain = n.cache.Domain
 	n.crashes.OnFound, n.crashes.OnReleased = n.onCulprit, n.onCulpritReleased
 	n.serverGuard = serverGuard{cache: &n.cache, log: n.Log, onHoldOff: n.scheduler.holdOff}
 	n.serverGuard.holdOffs.Now = time.Now
--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -16,14 +16,14 @@
 // contactTime is the platform's bound for what happened to be known to all nodes.
 const contactTime = 4 * time.Second
 
-// crashOnSegment makes all model servers crash on a prompt segment; each is back after 3 s. It
+// crashOnSegment makes all model servers crash on prompt segment dead; each is back after 3 s. It
 // returns a function that returns the times of the crashes.
-func (w *testFleet) crashOnSegment(id string) func() []time.Time {
+func (w *testFleet) crashOnSegment() func() []time.Time {
 	crashes := make(chan time.Time, 1000)
 	for _, d := range []string{"a", "b", "c"} {
 		s := w.servers["model-"+d]
 		ip, _, _ := net.SplitHostPort(s.Address)
-		s.FatalSegment = id
+		s.FatalSegment = "dead"
 		s.Crash = func() {
 			time.Sleep(1500 * time.Microsecond) // what was sent arrives
 			crashes <- time.Now()
@@ -105,7 +105,7 @@
 // testCrashingSegment sends a request with segment dead each second, after other segments, which
 // sound requests also have.
 func (w *testFleet) testCrashingSegment(t *testing.T, other string) {
-	crashes := w.crashOnSegment("dead")
+	crashes := w.crashOnSegment()
 	nodes := []string{"a1", "b1", "c1", "a2"}
 	sent, reached, served, sound := 0, 0, 0, 0
 	for i := range 30 {
@@ -148,7 +148,7 @@
 	all := []string{"a1", "b1", "c1", "a2"}
 	t.Run("restarts", func(t *testing.T) {
 		runFleet(t, func(w *testFleet) {
-			w.crashOnSegment("dead")
+			w.crashOnSegment()
 			w.sendDeadly("d", all, 10)
 			for _, n := range all {
 				w.kill(n)
@@ -164,7 +164,7 @@
 	})
 	t.Run("cut", func(t *testing.T) {
 		runFleet(t, func(w *testFleet) {
-			w.crashOnSegment("dead")
+			w.crashOnSegment()
 			w.net.SetHost("10.0.0.2", standin.HostGone) // a2
 			time.Sleep(6 * time.Second)
 			w.sendDeadly("d", all[:3], 10)
@@ -195,7 +195,7 @@
 	for _, deadly := range []bool{false, true} {
 		t.Run(fmt.Sprint("deadly ", deadly), func(t *testing.T) {
 			runFleet(t, func(w *testFleet) {
-				crashes := w.crashOnSegment("dead")
+				crashes := w.crashOnSegment()
 				nodes := []string{"a1", "b1", "c1", "a2"}
 				for n := 0; len(crashes()) < 3; n++ {
 					w.sendDeadly(fmt.Sprint("d", n, "-"), nodes[n%4:], 1)
@@ -222,7 +222,7 @@
 // Servers that crash and listen again before they are probed, as a new process, count as crashed.
 func TestCrashingPromptSegmentOfServersBackAtOnce(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		runs := w.crashOnSegment("dead")
+		runs := w.crashOnSegment()
 		for i, d := range []string{"a", "b", "c"} {
 			s, started := w.servers["model-"+d], 1000*i+1
 			w.registerProcess(s, "model", d, started, 1)
