io/edge: a broken request says nothing about a crash that comes long after it

A request that a server broke off, and that was kept because the server accepts connections, was counted for a crash of that server that another node reported any time later: requests that had nothing to do with it were suspects.

Cause: only the look at servers' entries dropped what was older than 5 s.

Change: both ways of finding a crash drop it.

Evidence: TestServerReplaced, "a crash that is reported later", before: the request was counted.

--- a/io/edge/broken.go
+++ b/io/edge/broken.go
@@ -84,30 +84,31 @@
 func (b *brokenRequests) replaced(s *relay.Server, now time.Time) map[string][]suspect.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.listening = slices.DeleteFunc(b.listening, func(x listening) bool { return now.Sub(x.since) > replacedWithin })
-	m := map[string][]suspect.Request{}
-	b.remove(func(x *listening) bool { return x.replacedBy(s) }, m)
-	return m
+	return b.remove(now, func(x *listening) bool { return x.replacedBy(s) })
 }
 
 // crashed removes and returns the requests of a server of which a crash was found otherwise.
-func (b *brokenRequests) crashed(server string) []suspect.Request {
+func (b *brokenRequests) crashed(server string, now time.Time) []suspect.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m := map[string][]suspect.Request{}
-	b.remove(func(x *listening) bool { return x.process.ID == server }, m)
-	return m[server]
+	return b.remove(now, func(x *listening) bool { return x.process.ID == server })[server]
 }
 
-// remove moves the requests of the matching servers to m. The lock is held.
-func (b *brokenRequests) remove(match func(*listening) bool, m map[string][]suspect.Request) {
+// remove removes and returns the requests, by server, of the matching servers, and forgets old ones. The lock is
+// held.
+func (b *brokenRequests) remove(now time.Time, match func(*listening) bool) map[string][]suspect.Request {
+	m := map[string][]suspect.Request{}
 	b.listening = slices.DeleteFunc(b.listening, func(x listening) bool {
+		if now.Sub(x.since) > replacedWithin {
+			return true
+		}
 		if !match(&x) {
 			return false
 		}
 		m[x.process.ID] = append(m[x.process.ID], x.requests...)
 		return true
 	})
+	return m
 }
 
 // clear takes what a response has cleared out of the remembered requests.
--- a/io/edge/broken_test.go
+++ b/io/edge/broken_test.go
@@ -24,12 +24,18 @@
 		{"entry of a server from before at its address", relay.Server{ID: "x", Address: "a:1", StartedAt: 4}, 0, false},
 		{"another server", relay.Server{ID: "x", Address: "b:1", StartedAt: 9}, 0, false},
 		{"too late", relay.Server{ID: "s", Address: "a:1", StartedAt: 9}, replacedWithin + 1, false},
+		{"a crash that is reported later", relay.Server{}, replacedWithin + 1, false},
 	} {
 		var b brokenRequests
 		l := []suspect.Request{{Fingerprint: 1, Segments: []uint64{2, 3}}}
 		b.keep(listening{process: relay.Process{ID: "s", StartedAt: 5}, address: "a:1", since: now, requests: l})
 		b.clear(suspect.Request{Segments: []uint64{3}})
-		got := b.replaced(&x.s, now.Add(x.after))["s"]
+		var got []suspect.Request
+		if x.s.ID == "" {
+			got = b.crashed("s", now.Add(x.after))
+		} else {
+			got = b.replaced(&x.s, now.Add(x.after))["s"]
+		}
 		if (len(got) == 1) != x.want || x.want && len(got[0].Segments) != 1 {
 			t.Errorf("%s: got %+v, want %v", x.what, got, x.want)
 		}
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -28,7 +28,7 @@
 		u, ok := errors.AsType[*exchange.UnsentError](err)
 		switch {
 		case ok && u.Refused:
-			n.countCrash(t.ID, append(l, n.broken.crashed(t.ID)...))
+			n.countCrash(t.ID, append(l, n.broken.crashed(t.ID, time.Now())...))
 		case err == nil && !n.cache.Withdrawn(p):
 			n.broken.keep(listening{process: p, address: t.Address, since: time.Now(), requests: l})
 			now := n.cache.Process(&relay.Server{ID: t.ID})
@@ -76,7 +76,7 @@
 func (n *Node) onCrashReport(server string, requests []suspect.Request) {
 	if server != "" {
 		n.crashes.ObserveCrash(server, requests)
-		if l := n.broken.crashed(server); len(l) > 0 {
+		if l := n.broken.crashed(server, time.Now()); len(l) > 0 {
 			n.countCrash(server, l)
 		}
 		return
