core/suspect: nodes tell each other how many trials have crashed servers

After each node has restarted, one by one, no node remembers the crashes of a culprit, only that others told of it. Such nodes granted no trials, as they could not tell what had come of them, and a wrong culprit stayed for as long as it was asked for.

Cause: what a trial showed was known only from the record of crashes, which notices do not carry.

Nodes take over the larger number and the later crash, and add the crashes that they hear of themselves. So any node can grant trials, and none grants one too soon.

TestNoticeCodec: no field is lost between nodes.

--- a/core/suspect/notices.go
+++ b/core/suspect/notices.go
@@ -32,6 +32,7 @@
 	CrashedAt time.Time // last crash
 	RenewedAt time.Time // last refusal of a request on any node, or, before the first one, the last crash
 	Renewals  int       // renewals so far; of two notices of a culprit the one with more is newer
+	Trials    int       // trials that crashed a server
 }
 
 // validate returns n with its segments sorted. It reports whether a node may have sent it that has the
@@ -40,7 +41,7 @@
 	if n.empty() || len(n.Segments) > maxNoticeSegments || n.Crashes < poisonThreshold {
 		return n, false
 	}
-	if n.Renewals < 0 || n.Renewals > maxRenewals || n.CrashedAt.After(now) || n.RenewedAt.After(now) {
+	if n.Renewals < 0 || n.Renewals > maxRenewals || n.Trials < 0 || n.CrashedAt.After(now) || n.RenewedAt.After(now) {
 		return n, false
 	}
 	if len(n.Segments) > 0 {
@@ -68,28 +69,50 @@
 	return len(t.l) < n
 }
 
+// observe adds to a notice the crashes of its culprit that this node has recorded. One that came so late after
+// the one before that the culprit was refused everywhere by then is that of a trial.
+func (n *Notice) observe(crashes []*crash) {
+	l := slices.DeleteFunc(slices.Clone(crashes), func(x *crash) bool { return !slices.ContainsFunc(x.requests, n.matches) })
+	var t tally
+	trials, last := 0, time.Time{}
+	if n.From != "" {
+		t.groups, trials, last = poisonThreshold, n.Trials, n.CrashedAt
+	}
+	for group, x := range grouped(l, crashGap) {
+		if t.groups >= poisonThreshold && x.at.Sub(last) >= trialDelay {
+			trials++
+		}
+		t.add(group, x)
+		if last.Before(x.at) {
+			last = x.at
+		}
+	}
+	n.Trials = max(n.Trials, trials)
+	if n.CrashedAt.Before(last) {
+		n.CrashedAt = last
+	}
+}
+
 // setOwn sets the culprits that the node has found in its recorded crashes.
 func (t *notices) setOwn(own []Culprit, crashes []*crash) {
 	t.l = slices.DeleteFunc(t.l, func(x Notice) bool { return x.From == "" && !slices.ContainsFunc(own, x.same) })
 	for _, k := range own {
 		n := Notice{Culprit: k}
 		if i := slices.IndexFunc(t.l, func(x Notice) bool { return x.same(k) }); i >= 0 {
-			n.RenewedAt, n.Renewals = t.l[i].RenewedAt, t.l[i].Renewals
+			n = t.l[i]
+			n.Culprit = k
 			t.l = slices.Delete(t.l, i, i+1)
 		}
 		for _, x := range crashes {
-			if !slices.ContainsFunc(x.requests, k.matches) {
-				continue
-			}
-			if n.CrashedAt.Before(x.at) {
-				n.CrashedAt = x.at
-			}
-			if n.RenewedAt.Before(x.usedAt) {
+			if n.RenewedAt.Before(x.usedAt) && slices.ContainsFunc(x.requests, k.matches) {
 				n.RenewedAt = x.usedAt
 			}
 		}
 		t.l = append(t.l, n)
 	}
+	for i := range t.l {
+		t.l[i].observe(crashes)
+	}
 }
 
 // adopted returns the adopted culprits that own ones do not include.
@@ -103,13 +126,17 @@
 	return l
 }
 
-// crashedAt returns when a culprit last crashed a server.
-func (t *notices) crashedAt(k Culprit) time.Time {
+// trialAt returns when a trial of a culprit is due, by its crashes.
+func (t *notices) trialAt(k Culprit) time.Time {
 	i := slices.IndexFunc(t.l, func(x Notice) bool { return x.same(k) })
 	if i < 0 {
 		return time.Time{}
 	}
-	return t.l[i].CrashedAt
+	delay := trialDelay
+	for range min(t.l[i].Trials, maxTrialCrashes) {
+		delay *= crashFactor
+	}
+	return t.l[i].CrashedAt.Add(delay)
 }
 
 // renew records that a request was refused for a culprit.
@@ -130,6 +157,10 @@
 		if !x.same(n.Culprit) {
 			continue
 		}
+		x.Trials = max(x.Trials, n.Trials)
+		if x.CrashedAt.Before(n.CrashedAt) {
+			x.CrashedAt = n.CrashedAt
+		}
 		if n.Renewals > x.Renewals {
 			x.Renewals = n.Renewals
 			if x.RenewedAt.Before(n.RenewedAt) {
--- a/io/peer/culprits.go
+++ b/io/peer/culprits.go
@@ -36,7 +36,7 @@
 	return &wire.CrashCulprits{Cleared: each(cleared, wireSuspect), Culprits: each(l, func(n suspect.Notice) wire.CrashCulprit {
 		return wire.CrashCulprit{
 			Fingerprint: int(n.Fingerprint), Segments: ints(n.Segments), Crashes: n.Crashes,
-			CrashAge: wireAge(n.CrashedAt, now), RenewalAge: wireAge(n.RenewedAt, now), Renewals: n.Renewals,
+			CrashAge: wireAge(n.CrashedAt, now), RenewalAge: wireAge(n.RenewedAt, now), Renewals: n.Renewals, Trials: n.Trials,
 		}
 	})}
 }
@@ -45,7 +45,7 @@
 	return each(w.Culprits, func(c wire.CrashCulprit) suspect.Notice {
 		return suspect.Notice{
 			Culprit:   suspect.Culprit{Fingerprint: uint64(c.Fingerprint), Segments: uints(c.Segments), Crashes: c.Crashes},
-			CrashedAt: timeOf(c.CrashAge, now), RenewedAt: timeOf(c.RenewalAge, now), Renewals: c.Renewals,
+			CrashedAt: timeOf(c.CrashAge, now), RenewedAt: timeOf(c.RenewalAge, now), Renewals: c.Renewals, Trials: c.Trials,
 		}
 	})
 }
--- a/io/peer/placement_test.go
+++ b/io/peer/placement_test.go
@@ -7,6 +7,7 @@
 
 	"bergamotspring/core/placement"
 	"bergamotspring/core/relay"
+	"bergamotspring/core/suspect"
 	"bergamotspring/schema/wire"
 )
 
@@ -35,6 +36,20 @@
 	}
 }
 
+// Guards against a field of a notice that is lost or changed in a frame.
+func TestNoticeCodec(t *testing.T) {
+	now := time.Unix(1e6, 0)
+	n := []suspect.Notice{{
+		Culprit:   suspect.Culprit{Segments: []uint64{1<<63 + 5, 7}, Crashes: 4},
+		CrashedAt: now.Add(-3 * time.Second), RenewedAt: now.Add(-time.Second), Renewals: 2, Trials: 1,
+	}}
+	var w wire.CrashCulprits
+	throughFrame(t, TypeCrashCulprits, wireCulprits(n, nil, now), &w)
+	if got := noticesOf(w, now); !reflect.DeepEqual(got, n) {
+		t.Errorf("got %+v, want %+v", got, n)
+	}
+}
+
 // throughFrame encodes a body into a frame and decodes it into another.
 func throughFrame(t *testing.T, k Type, body, into any) {
 	t.Helper()
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -145,6 +145,9 @@
 
 	// Segments corresponds to the JSON schema field "segments".
 	Segments []int `msgpack:"segments"`
+
+	// How many requests that ran although they are refused have crashed a server.
+	Trials int `msgpack:"trials"`
 }
 
 // What crashes servers as far as a node knows; the response to it is what the
