core/suspect: crashes count for an hour

A deadly prompt segment that comes less than once a minute crashes a server each time, for good, and one that pauses for over a minute has to be found again, at the price of three servers or more.

Cause: crashes and culprits were forgotten after a minute without such requests, as a wrong culprit was released by nothing else.

Change: an hour, as on the own interface.

Evidence: TestCounterFindsRareSegment, before: the fourth request in 80 minutes would have run.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -11,7 +11,7 @@
 
 const (
 	// crashTTL is how long a culprit's crashes count after it was last resent.
-	crashTTL = time.Minute
+	crashTTL = time.Hour
 	// countedFor is how long a crash counts in any case: as long as poisonThreshold crashes
 	// take that are up to crashTTL apart.
 	countedFor = (poisonThreshold - 1) * crashTTL
--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -231,3 +231,15 @@
 	}
 	c.check("goes on", req(9, dead), true)
 }
+
+// Requests with a deadly segment that come now and then are found as well.
+func TestCounterFindsRareSegment(t *testing.T) {
+	c := newTestCounter(t)
+	for i, s := range []string{"a", "b", "c"} {
+		c.now = c.now.Add(20 * time.Minute)
+		c.crash(s, req(uint64(i), first, dead))
+		c.ObserveResponse(req(40, first))
+	}
+	c.now = c.now.Add(20 * time.Minute)
+	c.check("after three crashes", req(9, first, dead), true)
+}
