--- a/core/suspect/notices.go
+++ b/core/suspect/notices.go
@@ -132,8 +132,11 @@
 	if i < 0 {
 		return time.Time{}
 	}
-	delay := trialDelay
-	for range min(t.l[i].Trials, maxTrialCrashes) {
+	delay, trials := trialDelay, t.l[i].Trials
+	if len(k.Segments) == 0 {
+		trials++
+	}
+	for range min(trials, maxTrialCrashes) {
 		delay *= crashFactor
 	}
 	return t.l[i].CrashedAt.Add(delay)
--- a/core/suspect/trial_test.go
+++ b/core/suspect/trial_test.go
@@ -47,4 +47,10 @@
 	grant("long after it", left, 0)
 	a.ObserveResponse(r)
 	a.check("after a response", r, false)
+	for _, s := range []string{"x", "y", "z"} {
+		a.crash(s, req(1))
+	}
+	r = req(1)
+	grant("a request by itself", trialDelay, maxTrialWait)
+	grant("a request by itself, long after it", crashFactor*trialDelay, 0)
 }
