--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -11,7 +11,7 @@
 
 const (
 	// crashTTL is how long a culprit's crashes count after it was last resent.
-	crashTTL = time.Minute
+	crashTTL = time.Hour
 	// countedFor is how long a crash counts in any case: as long as poisonThreshold crashes
 	// take that are up to crashTTL apart.
 	countedFor = (poisonThreshold - 1) * crashTTL
@@ -32,6 +32,8 @@
 // use, with a clock that stands still. It is safe for concurrent use.
 type Counter struct {
 	Now func() time.Time
+	// Domain, if set, returns the failure domain of a server, empty if it is not known.
+	Domain func(server string) string
 	// OnFound, if set, is called when a culprit is found, OnReleased when it is none any more.
 	OnFound, OnReleased func(Culprit)
 
@@ -42,12 +44,14 @@
 	searchedAt time.Time
 	culprits   []Culprit // found in crashes, then those adopted
 	notices    notices   // of all culprits
+	trials     trials
 	watchers   map[*watcher]struct{}
 }
 
 // crash is one crash of a server.
 type crash struct {
 	server   string
+	domain   string    // failure domain, empty: unknown
 	at       time.Time // first report
 	usedAt   time.Time // last resend of its culprit
 	requests []Request // in flight, without segments that were cleared
@@ -102,6 +106,9 @@
 		}
 	}
 	x := &crash{server: server, at: c.now(), usedAt: c.now()}
+	if c.Domain != nil {
+		x.domain = c.Domain(server)
+	}
 	c.crashes = append(c.crashes, x)
 	return x
 }
@@ -303,6 +310,7 @@
 	own := findCulprits(c.crashes)
 	c.notices.setOwn(own, c.crashes)
 	c.culprits = append(own, c.notices.adopted(own)...)
+	c.trials.retain(c.culprits)
 	found, released := missing(old, c.culprits), missing(c.culprits, old)
 	if len(found)+len(released) == 0 {
 		return func() {}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -2,8 +2,8 @@
 // connects to the other nodes, schedules requests while it is the coordinator of its region,
 // and serves callers.
 //
-// No lock is held during I/O. The locks of the scheduler, the table watches, the table follower and
-// the connection pool are taken before those of the caches, the roster and the retry budgets, that of
+// No lock is held during I/O. The locks of the scheduler, the table watches, the table follower, the
+// counter of crashes and the connection pool are taken before those of the caches, the roster and the retry budgets, that of
 // the balancer before that of the hold-offs; the others are taken one at a time.
 package edge
 
@@ -147,6 +147,7 @@
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.cache.Now, n.roster.Now = time.Now, time.Now
 	n.sampler.now, n.crashes.Now = time.Now, time.Now
+	n.crashes.Domain = n.cache.Domain
 	n.crashes.OnFound, n.crashes.OnReleased = n.onCulprit, n.onCulpritReleased
 	n.serverGuard = serverGuard{cache: &n.cache, log: n.Log, onHoldOff: n.scheduler.holdOff}
 	n.serverGuard.holdOffs.Now = time.Now
@@ -163,6 +164,7 @@
 	n.tableCache = tableCache{
 		settings: s, store: &n.store, cache: &n.cache, roster: &n.roster, log: n.Log,
 		onConfirm: n.tableFollower.onConfirm, onResponse: n.tableFollower.onStoreResponse, onFailure: n.tableFollower.onStoreFailure,
+		onServer: n.onServerEntry,
 	}
 	n.tableCache.init()
 	n.schedulerClient = schedulerClient{self: s.Peer, stopping: n.stopping.Load, region: s.Region, roster: &n.roster, mesh: n.mesh.Load, scheduler: &n.scheduler, log: n.Log}
@@ -232,7 +234,7 @@
 		Pool: &n.pool, Schedule: n.schedulerClient.place, Report: n.schedulerClient.report,
 		Guard: n.serverGuard.guard, HoldOff: n.serverGuard.holdOff,
 		CountFirst: n.requestRetries.countFirst, TakeRetry: n.requestRetries.takeRetry,
-		Suspects: &n.crashes, OnBroken: n.onBroken, OnResponse: n.onResponse, OnSuccess: n.onSuccess, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
+		Suspects: &n.crashes, OnBroken: n.onBroken, OnResponse: n.onResponse, OnSuccess: n.onSuccess, TakeTrial: n.takeTrial, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
 		EndPlacements: n.drain.placements, EndRequests: n.drain.requests,
 	}
 	return &http.Server{
@@ -264,6 +266,7 @@
 		Report:   n.scheduler.report,
 		Crash:    n.onCrashReport,
 		Culprits: n.onCulprits,
+		Trial:    n.crashes.GrantTrial,
 		Tables:   n.tableFollower.serve,
 	}.Register(m)
 	if _, _, err := m.Serve(n.Settings.Peer); err != nil {
--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bergamotspring/io/standin"
@@ -15,13 +16,13 @@
 // contactTime is the platform's bound for what happened to be known to all nodes.
 const contactTime = 4 * time.Second
 
-// crashOnSegment makes all model servers crash on a prompt segment; each is back after 3 s. It
+// crashOnSegment makes all model servers crash on prompt segment dead; each is back after 3 s. It
 // returns a function that returns the times of the crashes.
-func (w *testFleet) crashOnSegment(id string) func() []time.Time {
+func (w *testFleet) crashOnSegment() func() []time.Time {
 	crashes := make(chan time.Time, 1000)
 	for _, s := range w.all("model") {
 		ip, _, _ := net.SplitHostPort(s.Address)
-		s.FatalSegment = id
+		s.FatalSegment = "dead"
 		s.Crash = func() {
 			time.Sleep(1500 * time.Microsecond) // what was sent arrives
 			crashes <- time.Now()
@@ -108,7 +109,7 @@
 // testCrashingSegment sends a request with segment dead each second, after other segments, which
 // sound requests also have.
 func (w *testFleet) testCrashingSegment(t *testing.T, other string) {
-	crashes := w.crashOnSegment("dead")
+	crashes := w.crashOnSegment()
 	nodes := []string{"a1", "b1", "c1", "a2"}
 	sent, reached, served, sound := 0, 0, 0, 0
 	for i := range 30 {
@@ -151,7 +152,7 @@
 	all := []string{"a1", "b1", "c1", "a2"}
 	t.Run("restarts", func(t *testing.T) {
 		runFleet(t, func(w *testFleet) {
-			w.crashOnSegment("dead")
+			w.crashOnSegment()
 			w.sendDeadly("d", all, 10)
 			for _, n := range all {
 				w.kill(n)
@@ -167,7 +168,7 @@
 	})
 	t.Run("cut", func(t *testing.T) {
 		runFleet(t, func(w *testFleet) {
-			w.crashOnSegment("dead")
+			w.crashOnSegment()
 			w.net.SetHost("10.0.0.2", standin.HostGone) // a2
 			time.Sleep(6 * time.Second)
 			w.sendDeadly("d", all[:3], 10)
@@ -191,3 +192,71 @@
 	}
 	return runs
 }
+
+// Requests with a culprit are tried one at a time, long after its last crash: one that crashes no servers is
+// released, also if the node that grants trials vanishes or no node saw a crash, and a deadly one crashes a single
+// server more.
+func TestCulpritIsTried(t *testing.T) {
+	for _, what := range []string{"sound", "sound, arbiter gone", "sound, nodes restarted", "deadly"} {
+		t.Run(what, func(t *testing.T) { runFleet(t, func(w *testFleet) { w.testTrial(t, what) }) })
+	}
+}
+
+func (w *testFleet) testTrial(t *testing.T, what string) {
+	crashes := w.crashOnSegment()
+	nodes := []string{"a1", "b1", "c1", "a2"}
+	for n := 0; len(crashes()) < 3; n++ {
+		w.sendDeadly(fmt.Sprint("d", n, "-"), nodes[n%4:], 1)
+	}
+	synctest.Wait()
+	if what == "sound, nodes restarted" {
+		for _, n := range nodes {
+			w.kill(n)
+			w.restart(n)
+			time.Sleep(time.Second)
+		}
+		synctest.Wait()
+	}
+	if what != "deadly" {
+		for _, d := range []string{"a", "b", "c"} {
+			w.servers["model-"+d].FatalSegment = ""
+		}
+	}
+	if what == "sound, arbiter gone" {
+		w.net.SetHost("10.0.0.1", standin.HostGone) // a1
+		nodes = nodes[1:]
+	}
+	before := len(crashes())
+	early := w.sendDeadly("e", nodes, 10)
+	if late := w.sendDeadly("f", nodes, 60); what != "deadly" && late < 60 {
+		t.Errorf("%d of 60 requests served, %d runs before", late, early)
+	}
+	if got := len(crashes()) - before; what == "deadly" && got != 1 {
+		t.Errorf("%d crashes by trials, want 1", got)
+	}
+}
+
+// Servers that crash and listen again before they are probed, as a new process, count as crashed.
+func TestCrashingPromptSegmentOfServersBackAtOnce(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		runs := w.crashOnSegment()
+		for i, d := range []string{"a", "b", "c"} {
+			s, started := w.servers["model-"+d], 1000*i+1
+			w.registerProcess(s, "model", d, started, 1)
+			crash := s.Crash
+			s.Crash = func() {
+				crash()
+				ip, _, _ := net.SplitHostPort(s.Address)
+				w.net.SetHost(ip, standin.HostUp)
+				started++
+				w.registerProcess(s, "model", d, started, 1)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		all := []string{"a1", "b1", "c1", "a2"}
+		w.sendDeadly("d", all, 8)
+		if got := w.sendDeadly("e", all, 4); got > 0 {
+			t.Errorf("%d runs of 4 requests that crash servers, after %d crashes", got, len(runs()))
+		}
+	})
+}
--- a/io/peer/culprits.go
+++ b/io/peer/culprits.go
@@ -21,11 +21,22 @@
 	return noticesOf(w, time.Now()), each(w.Cleared, suspectOf), nil
 }
 
+// AskTrial asks the node at an address for a trial of a request that is refused for what crashes servers. It
+// returns 0 if it was granted, or how long to ask no more.
+func (m *Mesh) AskTrial(ctx context.Context, to string, r suspect.Request) (wait time.Duration, err error) {
+	var w wire.CrashTrial
+	b := wireSuspect(r)
+	if err := m.Call(ctx, to, TypeCrashTrial, &b, TypeCrashTrial, &w); err != nil {
+		return 0, err
+	}
+	return duration(w.Wait), nil
+}
+
 func wireCulprits(l []suspect.Notice, cleared []suspect.Request, now time.Time) *wire.CrashCulprits {
 	return &wire.CrashCulprits{Cleared: each(cleared, wireSuspect), Culprits: each(l, func(n suspect.Notice) wire.CrashCulprit {
 		return wire.CrashCulprit{
 			Fingerprint: int(n.Fingerprint), Segments: ints(n.Segments), Crashes: n.Crashes,
-			CrashAge: wireAge(n.CrashedAt, now), RenewalAge: wireAge(n.RenewedAt, now), Renewals: n.Renewals,
+			CrashAge: wireAge(n.CrashedAt, now), RenewalAge: wireAge(n.RenewedAt, now), Renewals: n.Renewals, Trials: n.Trials,
 		}
 	})}
 }
@@ -34,7 +45,7 @@
 	return each(w.Culprits, func(c wire.CrashCulprit) suspect.Notice {
 		return suspect.Notice{
 			Culprit:   suspect.Culprit{Fingerprint: uint64(c.Fingerprint), Segments: uints(c.Segments), Crashes: c.Crashes},
-			CrashedAt: timeOf(c.CrashAge, now), RenewedAt: timeOf(c.RenewalAge, now), Renewals: c.Renewals,
+			CrashedAt: timeOf(c.CrashAge, now), RenewedAt: timeOf(c.RenewalAge, now), Renewals: c.Renewals, Trials: c.Trials,
 		}
 	})
 }
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -145,6 +145,9 @@
 
 	// Segments corresponds to the JSON schema field "segments".
 	Segments []int `msgpack:"segments"`
+
+	// How many requests that ran although they are refused have crashed a server.
+	Trials int `msgpack:"trials"`
 }
 
 // What crashes servers as far as a node knows; the response to it is what the
@@ -167,6 +170,12 @@
 	Segments []int `msgpack:"segments"`
 }
 
+// Responds to a CrashRequest that is refused, and of which a trial is asked for.
+type CrashTrial struct {
+	// Microseconds during which not to ask again; 0: the request may run.
+	Wait int `msgpack:"wait"`
+}
+
 // Gossip that a node sends to a few random peers each second.
 type Digest struct {
 	// Confirmed corresponds to the JSON schema field "confirmed".
