A server that asked for a pause gets no more requests at once at its end than it bore

What callers saw: plain servers that were full for a moment, and said so with Retry-After, stayed unused for most of the time. Each node sent nothing during the pause and everything at its end, so that they were full at once and asked for the next pause; callers, told to come back at its end, made it worse. This did not end when the load fell.

Change: a rejection with a hold-off sets a limit for the server's requests of this node in flight: 0.7 of those at that moment. It grows with time from the end of the pause on. Without hold-offs nothing changes.

--- a/core/relay/balancer.go
+++ b/core/relay/balancer.go
@@ -24,6 +24,12 @@
 	// domain or region.
 	crossDomainCost = 8 * time.Millisecond
 	crossRegionCost = 60 * time.Millisecond
+	// limitDecrease is the share of its requests in flight that a server may have after it has asked for a
+	// pause. From the end of the pause on, the limit grows by limitGrowth of it each second, or by
+	// minLimitGrowth requests if that is more.
+	limitDecrease  = 0.7
+	limitGrowth    = 0.1
+	minLimitGrowth = 0.5
 	// defaultLatency is assumed for a server without a recent measurement.
 	defaultLatency = 20 * time.Millisecond
 )
@@ -42,10 +48,12 @@
 	updated      time.Time     // time of the last response
 	backoff      time.Duration
 	backoffUntil time.Time
+	limit        float64 // of inFlight at the end of the last pause; 0: there was none
+	pausedUntil  time.Time
 }
 
-// Pick returns the server of a service with the lowest cost among those that are allowed
-// and not tried yet, or nil. Servers in backoff are used only if there is no other.
+// Pick returns the server of a service with the lowest cost among those that are allowed,
+// not tried yet and below their limit, or nil. Servers in backoff are used only if there is no other.
 func (b *Balancer) Pick(v *View, service, domain, region string, now time.Time, allowed func(*Server) bool, tried []string) *Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -53,7 +61,7 @@
 	var cost time.Duration
 	bestInBackoff := false
 	for _, s := range v.Servers[service] {
-		if !allowed(s) || slices.Contains(tried, s.ID) {
+		if !allowed(s) || slices.Contains(tried, s.ID) || b.full(s.ID, now) {
 			continue
 		}
 		p := b.inBackoff(s.ID, now)
@@ -70,6 +78,29 @@
 	return x != nil && now.Before(x.backoffUntil)
 }
 
+// full reports whether a server has as many requests in flight as its limit allows.
+func (b *Balancer) full(id string, now time.Time) bool {
+	x := b.stats[id]
+	if x == nil || x.limit == 0 {
+		return false
+	}
+	growth := max(minLimitGrowth, limitGrowth*x.limit) * max(0, now.Sub(x.pausedUntil).Seconds())
+	return x.inFlight >= int(x.limit+growth)
+}
+
+// Pause lowers the limit of a server that rejected a request and asked to get nothing for a duration. Without a
+// limit, as many requests as before would come at the end of the pause, and be rejected again.
+func (b *Balancer) Pause(id string, now time.Time, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.stats[id]
+	if x == nil || now.Before(x.pausedUntil) {
+		return
+	}
+	x.limit = max(1, limitDecrease*float64(x.inFlight))
+	x.pausedUntil = now.Add(d)
+}
+
 // cost returns the expected time of a request, weighted by failures, load and distance.
 func (b *Balancer) cost(s *Server, domain, region string, now time.Time) time.Duration {
 	d := defaultLatency
--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -139,6 +140,68 @@
 	})
 }
 
+// Servers of 450 requests a second together, which reject with Retry-After when all their places are taken, are
+// filled for a moment. Callers of 200 a second, who return as they are told, are served again soon: at the
+// end of their pauses the servers don't get all requests at once.
+func TestServersHoldOffWhenFull(t *testing.T) {
+	const rate, places, seconds = 200, 6, 6
+	runFleet(t, func(w *testFleet) {
+		for _, d := range []string{"a", "b", "c"} {
+			s := w.servers["plain-"+d]
+			s.ServiceTime, s.RetryAfter = 40*time.Millisecond, "1"
+			var mu sync.Mutex
+			var taken [places]time.Time // until when
+			s.SharedFault = func() platformstandin.Fault {
+				mu.Lock()
+				defer mu.Unlock()
+				for i := range taken {
+					if time.Now().After(taken[i]) {
+						taken[i] = time.Now().Add(s.ServiceTime)
+						return platformstandin.FaultNone
+					}
+				}
+				return platformstandin.FaultReject
+			}
+		}
+		var served atomic.Int32
+		var g sync.WaitGroup
+		for i := range rate * seconds {
+			g.Go(func() {
+				if at := i * 1000 / rate; at < 1000 || at > 1100 { // all those of 0.1 s come together
+					time.Sleep(time.Duration(at) * time.Millisecond)
+				} else {
+					time.Sleep(time.Second)
+				}
+				if w.persist([]string{"a1", "a2", "b1"}[i%3], "/read/x", fmt.Sprint(i)) {
+					served.Add(1)
+				}
+			})
+		}
+		g.Wait()
+		if got := served.Load(); got < rate*seconds*3/4 {
+			t.Errorf("got %d of %d requests served, want three quarters", got, rate*seconds)
+		}
+	})
+}
+
+// persist sends a request again for 4 s, each time after the Retry-After, until it is served, and reports
+// whether it was.
+func (w *testFleet) persist(node, path, id string) bool {
+	end := time.Now().Add(4 * time.Second)
+	for n := 0; time.Now().Before(end); n++ {
+		r := w.request(node, http.MethodGet, path, fmt.Sprint(id, ".", n), "X-Bergamotspring-Deadline-Ms", fmt.Sprint(time.Until(end).Milliseconds()))
+		if r.status == 200 {
+			return true
+		}
+		d, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		if err != nil { // its time has passed
+			return false
+		}
+		time.Sleep(time.Duration(d * float64(time.Second)))
+	}
+	return false
+}
+
 // A server starts again under its id and rejects a request before the node has read its new entry: the
 // hold-off is that of the process that rejected.
 func TestHoldOffOfRestartedServer(t *testing.T) {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -114,6 +114,9 @@
 	}
 	timer.Stop()
 	disconnected := errors.Is(context.Cause(ctx), context.Canceled)
+	if d := s.HoldOff(t); a.notRun && d > 0 {
+		s.Balancer.Pause(t.ID, time.Now(), d)
+	}
 	failed := a.err != nil && !disconnected || a.err == nil && !a.notRun && a.response.Status >= http.StatusInternalServerError
 	end(time.Now(), failed, a.notRun || disconnected)
 	if a.err != nil && !disconnected && !errors.Is(a.err, relay.ErrHeldOff) {
