Tests of hold-offs for the parts that none covered

TestServerGuard, TestHoldOffEndsBeforeStages, a case of TestAllServersHoldOff and one of TestStageServerHoldOff fail now without them. TestGuardAdmits, which hung for minutes without one of the two checks of the guard, fails at once.

--- a/core/placement/holdoff_test.go
+++ b/core/placement/holdoff_test.go
@@ -39,6 +39,9 @@
 	if len(b.decisions) != n+1 || b.decisions[n].Reason != ReasonLate || b.decisions[n].RetryAfter < minRetryAfter {
 		t.Errorf("got %v, want a refusal at once", b.decisions[n:])
 	}
+	if got := b.scheduler.backlogTime("encode", rank{}); got < 8*time.Second {
+		t.Errorf("got a backlog of %v, want the rest of the shorter hold-off at least", got)
+	}
 }
 
 // Results are released at a server after its hold-off, unless they have expired by then.
--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"bergamotspring/core/relay"
 	platformstandin "bergamotspring/platform/standin"
 )
 
@@ -244,7 +247,7 @@
 	for _, c := range []struct {
 		path, server, first string
 		want                float64
-	}{{"/read/x", "plain-", "1.00", 1}, {"/read/x", "plain-", "60", 1.32}, {"/draft/x", "model-", "1.00", 1}} {
+	}{{"/read/x", "plain-", "1.00", 1}, {"/read/x", "plain-", "60", 1.32}, {"/draft/x", "model-", "1.00", 1}, {"/south/x", "plain-", "1.00", 1.32}} {
 		runFleet(t, func(w *testFleet) {
 			for i, d := range []string{"b", "a", "c"} {
 				rejectFor(w.servers[c.server+d], []string{c.first, "90", "90"}[i])
@@ -271,6 +274,43 @@
 	}
 }
 
+// Model servers that hold the node off until a request's stages are complete at the latest may get it.
+func TestHoldOffEndsBeforeStages(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		for _, d := range []string{"a", "b", "c"} {
+			rejectOnce(w.servers["model-"+d], "0.2")
+		}
+		w.stream("a2", "/draft/x", "rejected", "X-Bergamotspring-Chunks", "0,0")
+		if r := w.stream("a2", "/draft/x", "later"); r.status != 200 || len(w.log.matching(`"not_run"`)) != 3 {
+			t.Errorf("got %d after %d rejections, want 200 after 3", r.status, len(w.log.matching(`"not_run"`)))
+		}
+	})
+}
+
+// Nothing is admitted to a server that holds the node off. A release is to one that is leaving, a request is not.
+func TestServerGuard(t *testing.T) {
+	var cache relay.Cache
+	g := serverGuard{cache: &cache, log: zap.NewNop(), onHoldOff: func(relay.Process, time.Duration) {}}
+	g.holdOffs.Now = time.Now
+	held, left := &relay.Server{ID: "1", StartedAt: 5}, &relay.Server{ID: "2", StartedAt: 5}
+	for _, s := range []*relay.Server{held, left} {
+		cache.Put(s)
+	}
+	g.observe(held.Process(), 503, http.Header{"Retry-After": {"60"}})
+	g.observe(left.Process(), 200, http.Header{"Server-Leaving": {"1"}})
+	for _, c := range []struct {
+		server            *relay.Server
+		request, messages error
+	}{{held, relay.ErrHeldOff, relay.ErrHeldOff}, {left, relay.ErrLeaving, nil}} {
+		if got := g.guard(c.server).Admit(); got != c.request {
+			t.Errorf("request to %s: got %v, want %v", c.server.ID, got, c.request)
+		}
+		if got := g.messageGuard(c.server).Admit(); got != c.messages {
+			t.Errorf("message to %s: got %v, want %v", c.server.ID, got, c.messages)
+		}
+	}
+}
+
 // A model server that holds a node off gets no request of that node, also none that the coordinator
 // placed there before; it serves other nodes.
 func TestModelServerHoldOff(t *testing.T) {
--- a/io/exchange/guard_test.go
+++ b/io/exchange/guard_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
 // The guard sees the header of the response to its request, also behind a copy of an earlier one, and if
@@ -46,7 +47,9 @@
 				}
 				return nil
 			}
-			_, err := s.pool.Do(context.Background(), r)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := s.pool.Do(ctx, r)
 			return err
 		}
 		for admitted, conns := range []int{0, 1} {
