Revert "Requests with a stage that no server runs are refused at once"

A stage whose servers have no entry is not known to have none: while the store is silent entries expire that come back, and requests that wait are then served.

--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -86,10 +86,6 @@
 	h.jobs[a.ID] = j
 	h.adoptProgress(j)
 	h.adoptInBatches(j)
-	if h.lacksStageServers(j) {
-		h.refuse(j, ReasonNoServer, noServerRetryAfter)
-		return
-	}
 	if a.HasFallback && h.timeToFirstEvent(j) > a.Goal {
 		h.refuse(j, ReasonBusy, 0)
 		return
