--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -302,10 +303,10 @@
 		server            *relay.Server
 		request, messages error
 	}{{held, relay.ErrHeldOff, relay.ErrHeldOff}, {left, relay.ErrLeaving, nil}} {
-		if got := g.guard(c.server).Admit(); got != c.request {
+		if got := g.guard(c.server).Admit(); !errors.Is(got, c.request) {
 			t.Errorf("request to %s: got %v, want %v", c.server.ID, got, c.request)
 		}
-		if got := g.messageGuard(c.server).Admit(); got != c.messages {
+		if got := g.messageGuard(c.server).Admit(); !errors.Is(got, c.messages) {
 			t.Errorf("message to %s: got %v, want %v", c.server.ID, got, c.messages)
 		}
 	}
