--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -1,13 +1,18 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"bergamotspring/core/relay"
 	platformstandin "bergamotspring/platform/standin"
 )
 
@@ -139,6 +144,68 @@
 	})
 }
 
+// Servers of 450 requests a second together, which reject with Retry-After when all their places are taken, are
+// filled for a moment. Callers of 200 a second, who return as they are told, are served again soon: at the
+// end of their pauses the servers don't get all requests at once.
+func TestServersHoldOffWhenFull(t *testing.T) {
+	const rate, places, seconds = 200, 6, 6
+	runFleet(t, func(w *testFleet) {
+		for _, d := range []string{"a", "b", "c"} {
+			s := w.servers["plain-"+d]
+			s.ServiceTime, s.RetryAfter = 40*time.Millisecond, "1"
+			var mu sync.Mutex
+			var taken [places]time.Time // until when
+			s.SharedFault = func() platformstandin.Fault {
+				mu.Lock()
+				defer mu.Unlock()
+				for i := range taken {
+					if time.Now().After(taken[i]) {
+						taken[i] = time.Now().Add(s.ServiceTime)
+						return platformstandin.FaultNone
+					}
+				}
+				return platformstandin.FaultReject
+			}
+		}
+		var served atomic.Int32
+		var g sync.WaitGroup
+		for i := range rate * seconds {
+			g.Go(func() {
+				if at := i * 1000 / rate; at < 1000 || at > 1100 { // all those of 0.1 s come together
+					time.Sleep(time.Duration(at) * time.Millisecond)
+				} else {
+					time.Sleep(time.Second)
+				}
+				if w.persist([]string{"a1", "a2", "b1"}[i%3], "/read/x", fmt.Sprint(i)) {
+					served.Add(1)
+				}
+			})
+		}
+		g.Wait()
+		if got := served.Load(); got < rate*seconds*3/4 {
+			t.Errorf("got %d of %d requests served, want three quarters", got, rate*seconds)
+		}
+	})
+}
+
+// persist sends a request again for 4 s, each time after the Retry-After, until it is served, and reports
+// whether it was.
+func (w *testFleet) persist(node, path, id string) bool {
+	end := time.Now().Add(4 * time.Second)
+	for n := 0; time.Now().Before(end); n++ {
+		r := w.request(node, http.MethodGet, path, fmt.Sprint(id, ".", n), "X-Bergamotspring-Deadline-Ms", fmt.Sprint(time.Until(end).Milliseconds()))
+		if r.status == 200 {
+			return true
+		}
+		d, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		if err != nil { // its time has passed
+			return false
+		}
+		time.Sleep(time.Duration(d * float64(time.Second)))
+	}
+	return false
+}
+
 // A server starts again under its id and rejects a request before the node has read its new entry: the
 // hold-off is that of the process that rejected.
 func TestHoldOffOfRestartedServer(t *testing.T) {
@@ -181,7 +248,7 @@
 	for _, c := range []struct {
 		path, server, first string
 		want                float64
-	}{{"/read/x", "plain", "1.00", 1}, {"/read/x", "plain", "60", 1.32}, {"/draft/x", "model", "1.00", 1}} {
+	}{{"/read/x", "plain", "1.00", 1}, {"/read/x", "plain", "60", 1.32}, {"/draft/x", "model", "1.00", 1}, {"/south/x", "plain", "1.00", 1.32}} {
 		runFleet(t, func(w *testFleet) {
 			for i, s := range w.all(c.server) {
 				rejectFor(s, []string{"90", c.first, "90"}[i])
@@ -208,6 +275,43 @@
 	}
 }
 
+// Model servers that hold the node off until a request's stages are complete at the latest may get it.
+func TestHoldOffEndsBeforeStages(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		for _, d := range []string{"a", "b", "c"} {
+			rejectOnce(w.servers["model-"+d], "0.2")
+		}
+		w.stream("a2", "/draft/x", "rejected", "X-Bergamotspring-Chunks", "0,0")
+		if r := w.stream("a2", "/draft/x", "later"); r.status != 200 || len(w.log.matching(`"not_run"`)) != 3 {
+			t.Errorf("got %d after %d rejections, want 200 after 3", r.status, len(w.log.matching(`"not_run"`)))
+		}
+	})
+}
+
+// Nothing is admitted to a server that holds the node off. A release is to one that is leaving, a request is not.
+func TestServerGuard(t *testing.T) {
+	var cache relay.Cache
+	g := serverGuard{cache: &cache, log: zap.NewNop(), onHoldOff: func(relay.Process, time.Duration) {}}
+	g.holdOffs.Now = time.Now
+	held, left := &relay.Server{ID: "1", StartedAt: 5}, &relay.Server{ID: "2", StartedAt: 5}
+	for _, s := range []*relay.Server{held, left} {
+		cache.Put(s)
+	}
+	g.observe(held.Process(), 503, http.Header{"Retry-After": {"60"}})
+	g.observe(left.Process(), 200, http.Header{"Server-Leaving": {"1"}})
+	for _, c := range []struct {
+		server            *relay.Server
+		request, messages error
+	}{{held, relay.ErrHeldOff, relay.ErrHeldOff}, {left, relay.ErrLeaving, nil}} {
+		if got := g.guard(c.server).Admit(); !errors.Is(got, c.request) {
+			t.Errorf("request to %s: got %v, want %v", c.server.ID, got, c.request)
+		}
+		if got := g.messageGuard(c.server).Admit(); !errors.Is(got, c.messages) {
+			t.Errorf("message to %s: got %v, want %v", c.server.ID, got, c.messages)
+		}
+	}
+}
+
 // A model server that holds a node off gets no request of that node, also none that the coordinator
 // placed there before; it serves other nodes.
 func TestModelServerHoldOff(t *testing.T) {
