--- a/io/edge/testfleet_test.go
+++ b/io/edge/testfleet_test.go
@@ -41,6 +41,7 @@
 	nodes       map[string]*testNode
 	killed      []*testNode // whose names were taken over by restarted nodes
 	servers     map[string]*platformstandin.Server
+	processes   sync.Map // addresses to the *platformstandin.Server that runs there
 	httpServers []*http.Server
 	serving     sync.WaitGroup
 	log         *logLines
@@ -136,25 +137,39 @@
 	for _, d := range []string{"a", "b", "c"} {
 		for _, service := range []string{"plain", "encode", "rank", "model"} {
 			n++
-			s := &platformstandin.Server{ID: service + "-" + d, Address: fmt.Sprintf("10.1.0.%d:80", n), Results: w.results, ServiceTime: 20 * time.Millisecond}
-			switch service {
-			case "encode", "rank":
-				s.BatchTime, s.TaskTime, s.Capacity = 200*time.Millisecond, 10*time.Millisecond, 12
-			case "model":
-				s.Events, s.Gap = 6, 50*time.Millisecond
-			}
+			s := w.newServer(service, service+"-"+d, fmt.Sprintf("10.1.0.%d:80", n))
 			w.servers[s.ID] = s
-			w.serve(s.Address, s)
+			w.processes.Store(s.Address, s)
+			w.serve(s.Address, http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) {
+				p, _ := w.processes.Load(s.Address)
+				p.(*platformstandin.Server).ServeHTTP(a, r)
+			}))
 			w.register(s, service, d, "ready", 0)
 		}
 	}
 }
 
+// newServer returns a server of a service.
+func (w *testFleet) newServer(service, id, address string) *platformstandin.Server {
+	s := &platformstandin.Server{ID: id, Address: address, Results: w.results, ServiceTime: 20 * time.Millisecond}
+	switch service {
+	case "encode", "rank":
+		s.BatchTime, s.TaskTime, s.Capacity = 200*time.Millisecond, 10*time.Millisecond, 12
+	case "model":
+		s.Events, s.Gap = 6, 50*time.Millisecond
+	}
+	return s
+}
+
 func (w *testFleet) register(s *platformstandin.Server, service, domain, state string, cold time.Duration) {
-	w.store.Put("servers", s.ID, map[string]any{
+	e := map[string]any{
 		"service": service, "address": s.Address, "zone": domain, "slots": 6, "state": state,
 		"cold-left-ms": cold.Milliseconds(), "sequence": 1,
-	})
+	}
+	if !s.Started.IsZero() {
+		e["born"] = s.Started.UnixMilli()
+	}
+	w.store.Put("servers", s.ID, e)
 }
 
 // configure writes a configuration, after change, if set, has edited it.
--- a/io/standin/network.go
+++ b/io/standin/network.go
@@ -54,6 +54,7 @@
 	hosts     map[string]HostState
 	cuts      map[[2]string]bool
 	oneWay    map[[2]string]bool // by sender and receiver
+	delays    map[[2]string]time.Duration
 	conns     map[*Conn]struct{}
 	paths     map[string]*path
 	dials     map[string]int
@@ -191,10 +192,23 @@
 }
 
 func (n *Network) latency(from, to string) time.Duration {
-	if n.Latency == nil {
-		return 0
+	n.mu.Lock()
+	d := n.delays[[2]string{from, to}]
+	n.mu.Unlock()
+	if n.Latency != nil {
+		d += n.Latency(from, to)
+	}
+	return d
+}
+
+// SetDelay adds a delay to what two hosts send to each other from now on; 0 ends it.
+func (n *Network) SetDelay(a, b string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.delays == nil {
+		n.delays = map[[2]string]time.Duration{}
 	}
-	return n.Latency(from, to)
+	n.delays[[2]string{a, b}], n.delays[[2]string{b, a}] = d, d
 }
 
 // cut reports whether the path between the hosts is cut. Callers hold mu.
