Requests whose stage has only leaving servers are refused at once

Cause: the estimates take one server where there is none; only model servers were looked for at arrival.

Change: a request that arrives is refused, as not run, if one of its stages has no server and some that stated that they are leaving.

TestStageServerLeavingInResponse failed before: refused after 3.381 s.

--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -190,6 +190,18 @@
 	return q.nearest
 }
 
+// stageServersLeft reports whether a stage of a job has tasks and no server that may run them, as those that there
+// are have stated that they are leaving. Servers whose entries are gone may be back soon.
+func (h *Scheduler) stageServersLeft(j *job) bool {
+	return slices.ContainsFunc(j.stages, func(s *jobStage) bool {
+		if s.remaining == 0 || len(h.View().Departing[s.request.Service]) == 0 {
+			return false
+		}
+		l := h.nearestStageServers(h.pool(s.request.Service))
+		return !slices.ContainsFunc(l, func(m *stageServer) bool { return j.allows(m.server.Region) })
+	})
+}
+
 // nearest keeps the elements for which near holds, or all if there are none.
 func nearest[T any](l []T, near func(T) bool) []T {
 	if !slices.ContainsFunc(l, near) {
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -90,6 +90,10 @@
 	h.jobs[a.ID] = j
 	h.adoptProgress(j)
 	h.adoptInBatches(j)
+	if h.stageServersLeft(j) {
+		h.refuse(j, ReasonNoServer, noServerRetryAfter)
+		return
+	}
 	if a.HasFallback && h.timeToFirstEvent(j) > a.Goal {
 		h.refuse(j, ReasonBusy, 0)
 		return
--- a/io/edge/leaving_test.go
+++ b/io/edge/leaving_test.go
@@ -133,7 +133,8 @@
 	})
 }
 
-// A stage server that states that it is leaving in its response to a batch gets no more batches.
+// A stage server that states that it is leaving in its response to a batch gets no more batches. When all do,
+// requests are refused at once.
 func TestStageServerLeavingInResponse(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		w.stream("a1", "/draft/x", "0")
@@ -148,5 +149,15 @@
 		if got := len(s.BatchSizes()) - before; got > 1 {
 			t.Errorf("got %d batches at the leaving server, want at most 1", got)
 		}
+		for _, x := range w.all("encode") {
+			x.Leaving = leaving
+		}
+		var r response
+		for i := range 3 { // the first two are served by the others
+			r = w.stream("a1", "/draft/x", fmt.Sprint("last", i))
+		}
+		if r.status != 503 || r.header.Get("Retry-After") == "" || r.took > 20*time.Millisecond {
+			t.Errorf("got %d %v after %v when all had said so, want a refusal at once", r.status, r.header, r.took)
+		}
 	})
 }
