--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -270,11 +270,7 @@
 func (c *conn) readHead() (*http.Response, error) {
 	c.limit.remaining = maxHead
 	defer func() { c.limit.remaining = unlimited }()
-	old := c.readsHTTP10()
 	a, err := http.ReadResponse(c.in, nil)
-	if err == nil && old {
-		a.Close = true
-	}
 	if err == nil && holdsStatusLine(a) {
 		return nil, errJoinedHeads
 	}
@@ -284,17 +280,6 @@
 	return a, err
 }
 
-// readsHTTP10 reports whether the next response is one over HTTP/1.0, and if so makes it one over HTTP/1.1: net/http
-// forgets the Transfer-Encoding of the former, which it should not have, and takes its chunks for the body.
-func (c *conn) readsHTTP10() bool {
-	b, err := c.in.Peek(len("HTTP/1.0"))
-	if err != nil || string(b) != "HTTP/1.0" {
-		return false
-	}
-	b[len(b)-1] = '1'
-	return true
-}
-
 // skipBody reads and drops the body of a response to another request.
 func (c *conn) skipBody(a *http.Response) error {
 	c.limit.remaining = maxForeignBody
