core/suspect: a culprit's last crash does not move while nodes exchange it

Callers of a sound segment that was condemned by mistake would wait longer for the trial that clears it, the more so the farther nodes are apart, and a culprit that was cleared could come back from nodes that had not heard of it.

Cause: times travel as ages, so each message makes a crash seem later by its delay, and merge took the latest time. Two nodes passed the delay back and forth, and it added up with each exchange.

Change: a crash that a notice has up to a second later than known is the same one.

TestCrashAges (two nodes, an exchange a second, 50 ms each way, a minute) failed before: "the crash seems 6s later than it was", 5.95 s at the other node. It passes now.

--- a/core/suspect/notices.go
+++ b/core/suspect/notices.go
@@ -24,6 +24,9 @@
 	// noticeTTL is how long after its last renewal a notice is passed on. It is shorter than
 	// crashTTL by more than messages are delayed, as their delay adds to the age.
 	noticeTTL = crashTTL - 10*time.Second
+	// maxNoticeDelay is how long a message is delayed at most. A crash that a notice has this much later than
+	// known is the same one: taken over, the delays of all messages between nodes would add up.
+	maxNoticeDelay = time.Second
 )
 
 // Notice is a culprit as one node tells another of it.
@@ -161,7 +164,7 @@
 			continue
 		}
 		x.Trials = max(x.Trials, n.Trials)
-		if x.CrashedAt.Before(n.CrashedAt) {
+		if n.CrashedAt.Sub(x.CrashedAt) > maxNoticeDelay {
 			x.CrashedAt = n.CrashedAt
 		}
 		if n.Renewals > x.Renewals {
--- a/core/suspect/notices_test.go
+++ b/core/suspect/notices_test.go
@@ -145,3 +145,18 @@
 		t.Errorf("%d culprits adopted, want %d", got, maxNotices)
 	}
 }
+
+// The last crash of a culprit does not seem later the longer nodes exchange it.
+func TestCrashAges(t *testing.T) {
+	a, b := newTestPair(t)
+	crashed := a.now
+	for range 60 {
+		a.now, b.now = a.now.Add(time.Second), b.now.Add(time.Second)
+		a.exchange(b, 50*time.Millisecond)
+	}
+	for _, c := range []*testCounter{a, b} {
+		if got := c.Notices()[0].CrashedAt.Sub(crashed); got > maxNoticeDelay {
+			t.Errorf("after a minute, the crash seems %v later than it was", got)
+		}
+	}
+}
