core/suspect: a response that clears nothing walks no recorded crashes

Each response, and the end of each stream again, compared its segments with all recorded crashes, under the lock that each request takes as well.

Change: an index says which requests and segments may be recorded.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -40,6 +40,7 @@
 	mu         sync.Mutex
 	crashes    []*crash // oldest first
 	counted    int      // requests and segments in crashes
+	index      index    // of crashes
 	stale      bool     // crashes changed since the last search
 	searchedAt time.Time
 	culprits   []Culprit // found in crashes, then those adopted
@@ -87,9 +88,13 @@
 		r.Segments = slices.Compact(slices.Sorted(slices.Values(r.Segments))) // a copy, as cleared ones are deleted
 		x.requests = append(x.requests, r)
 		c.counted += r.size()
+		c.index.add(r)
 	}
 	c.stale = true
 	c.evict()
+	if c.index.size() > 2*max(c.counted, maxCounted) {
+		c.index = newIndex(c.crashes)
+	}
 	notify := func() {}
 	if c.now().Sub(c.searchedAt) >= searchInterval {
 		notify = c.search()
@@ -180,6 +185,22 @@
 	if !whole {
 		r.Fingerprint = 0
 	}
+	cleared := c.notices.clear(r)
+	if c.index.take(r, whole) {
+		cleared = c.clearCrashes(r, whole) || cleared
+	}
+	notify := func() {}
+	if cleared {
+		c.notices.clearances.add(r, c.now())
+		notify = c.search()
+	}
+	c.mu.Unlock()
+	notify()
+	return cleared
+}
+
+// clearCrashes takes what is cleared out of the recorded crashes, and reports whether there was any. The lock is held.
+func (c *Counter) clearCrashes(r Request, whole bool) bool {
 	before := c.counted
 	for _, x := range c.crashes {
 		x.requests = slices.DeleteFunc(x.requests, func(y Request) bool {
@@ -196,15 +217,7 @@
 			c.counted -= n - len(y.Segments)
 		}
 	}
-	cleared := c.notices.clear(r) || c.counted < before
-	notify := func() {}
-	if cleared {
-		c.notices.clearances.add(r, c.now())
-		notify = c.search()
-	}
-	c.mu.Unlock()
-	notify()
-	return cleared
+	return c.counted < before
 }
 
 // IsPoison reports whether a request must not run, and the culprit that says so. Each call
--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -243,3 +244,23 @@
 	c.now = c.now.Add(20 * time.Minute)
 	c.check("after three crashes", req(9, first, dead), true)
 }
+
+// A response to a request that was in no crash costs little, however much is recorded.
+func BenchmarkResponse(b *testing.B) {
+	now := time.Unix(1e6, 0)
+	c := &Counter{Now: func() time.Time { return now }}
+	id := uint64(maxCounted)
+	for i := range maxCounted / 64 {
+		now = now.Add(time.Second)
+		var l []Request
+		for range 8 {
+			l = append(l, req(id, id+1, id+2, id+3, id+4, id+5, id+6, id+7))
+			id += 8
+		}
+		c.ObserveCrash(strconv.Itoa(i), l)
+	}
+	r := req(1, 1, 2, 3, 4, 5, 6, 7, 8)
+	for b.Loop() {
+		c.ObserveResponse(r)
+	}
+}
--- /dev/null
+++ b/core/suspect/index.go
@@ -0,0 +1,45 @@
+package suspect
+
+// index says what may be in recorded crashes, so that a response that clears nothing, as nearly all do, costs no walk
+// through them. It also holds some of what was in evicted crashes. The zero value is empty. It is not safe
+// for concurrent use.
+type index struct {
+	fingerprints, segments map[uint64]struct{}
+}
+
+// newIndex returns the index of crashes.
+func newIndex(crashes []*crash) index {
+	var x index
+	for _, c := range crashes {
+		for _, r := range c.requests {
+			x.add(r)
+		}
+	}
+	return x
+}
+
+func (x *index) size() int { return len(x.fingerprints) + len(x.segments) }
+
+// add adds a request and its segments.
+func (x *index) add(r Request) {
+	if x.fingerprints == nil {
+		x.fingerprints, x.segments = map[uint64]struct{}{}, map[uint64]struct{}{}
+	}
+	x.fingerprints[r.Fingerprint] = struct{}{}
+	for _, s := range r.Segments {
+		x.segments[s] = struct{}{}
+	}
+}
+
+// take removes the segments of a request, and the request itself if it is cleared as a whole. It reports
+// whether any of them was there.
+func (x *index) take(r Request, whole bool) bool {
+	before := x.size()
+	if whole {
+		delete(x.fingerprints, r.Fingerprint)
+	}
+	for _, s := range r.Segments {
+		delete(x.segments, s)
+	}
+	return x.size() < before
+}
