A refused request waits half a second at most for a trial, and not past its deadline

Callers of a request that is refused because it crashes servers got the refusal 1.5 to 2 s late, one a second on each node, when the arbiter of trials was silent, also if their deadline was over by then or they had left.

Cause: the request waited for as long as the question to the arbiter may take, without regard to its own context. The question takes long on purpose, as its failure marks the arbiter silent.

Change: the question goes on in the background; the request waits for it no longer than 500 ms and until its context ends.

TestTrialOfSilentArbiter failed before: "got 503 after 1.5035s, want a refusal within 300ms" with a deadline of 300 ms, and 1.4995 s, want 1 s, with 4 s. It passes now.

--- a/io/edge/culprits.go
+++ b/io/edge/culprits.go
@@ -25,9 +25,11 @@
 	culpritPeers = 2
 	// culpritTimeout bounds one exchange.
 	culpritTimeout = 800 * time.Millisecond
-	// trialTimeout bounds the question for a trial, for which a request waits. It is longer than the silence of a
-	// link, as the order of coordinators depends on who is silent.
+	// trialTimeout bounds the question for a trial. It is longer than the silence of a link, as the order of
+	// coordinators depends on who is silent.
 	trialTimeout = 2 * time.Second
+	// maxTrialWait is how long a request waits for the answer, which takes no longer than a message and back.
+	maxTrialWait = 500 * time.Millisecond
 	// startAskInterval is how often a node that has started asks others until one answers.
 	startAskInterval = 100 * time.Millisecond
 	// startAskTime is how long it asks in all. The first nodes to answer may have just started, too.
@@ -103,8 +105,8 @@
 }
 
 // takeTrial reports whether a request may run that is refused for a culprit. The node that has run longest
-// grants trials to all.
-func (n *Node) takeTrial(r suspect.Request) bool {
+// grants trials to all. The request waits for it no longer than maxTrialWait, and until the context ends.
+func (n *Node) takeTrial(ctx context.Context, r suspect.Request) bool {
 	m := n.mesh.Load()
 	arbiter, ok := n.roster.Oldest()
 	if m == nil || !ok {
@@ -116,12 +118,26 @@
 	if !n.crashes.AskTrial(r) {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, maxTrialWait)
+	defer cancel()
+	granted := make(chan bool, 1)
+	n.scheduler.work.Go(func() { granted <- n.askTrial(m, arbiter.Peer, r) })
+	select {
+	case ok := <-granted:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// askTrial asks the arbiter for a trial, and reports whether it was granted.
+func (n *Node) askTrial(m *peer.Mesh, arbiter string, r suspect.Request) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
 	defer cancel()
-	wait, err := m.AskTrial(ctx, arbiter.Peer, r)
+	wait, err := m.AskTrial(ctx, arbiter, r)
 	if err != nil {
-		n.roster.MarkSilent(arbiter.Peer)
-		n.Log.Info("trial_not_asked", zap.String("peer", arbiter.Peer), zap.Error(err))
+		n.roster.MarkSilent(arbiter)
+		n.Log.Info("trial_not_asked", zap.String("peer", arbiter), zap.Error(err))
 		return false
 	}
 	n.crashes.DelayTrial(r, wait)
--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -236,6 +236,27 @@
 	}
 }
 
+// A request that is refused does not wait long for an arbiter that is silent, and not past its deadline.
+func TestTrialOfSilentArbiter(t *testing.T) {
+	for _, c := range []struct {
+		deadline string
+		want     time.Duration
+	}{{"300", 300 * time.Millisecond}, {"4000", time.Second}} {
+		t.Run(c.deadline, func(t *testing.T) {
+			runFleet(t, func(w *testFleet) {
+				w.crashOnSegment()
+				w.sendDeadly("d", []string{"a1", "b1", "c1", "a2"}, 4)
+				time.Sleep(10 * time.Second)
+				w.net.SetHost("10.0.0.1", standin.HostGone) // a1
+				r := w.stream("b1", "/draft/x", "e", append(prefix("e", "aa:800,dead:100"), "X-Bergamotspring-Deadline-Ms", c.deadline)...)
+				if r.status != 503 || r.took > c.want {
+					t.Errorf("got %d after %v, want a refusal within %v", r.status, r.took, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Servers that crash and listen again before they are probed, as a new process, count as crashed.
 func TestCrashingPromptSegmentOfServersBackAtOnce(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -51,7 +51,7 @@
 	var tried []string
 	runs := 0
 	for n := 0; ; n++ {
-		if n > 0 && q.refusePoison(nil) {
+		if n > 0 && q.refusePoison(ctx, nil) {
 			return
 		}
 		t := q.pick(tried)
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -77,7 +77,7 @@
 		q.contextEnded(ctx)
 		return false
 	}
-	if q.refusePoison(g) {
+	if q.refusePoison(ctx, g) {
 		return false
 	}
 	if err != nil || !g.Granted() {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -88,8 +88,9 @@
 	Suspects              *suspect.Counter
 	OnBroken              func(r suspect.Request, t *relay.Server)
 	OnResponse, OnSuccess func(r suspect.Request)
-	// TakeTrial reports whether a request may run that Suspects refuses: of all nodes, one does now and then.
-	TakeTrial func(r suspect.Request) bool
+	// TakeTrial reports whether a request may run that Suspects refuses: of all nodes, one does now and then. It
+	// waits no longer than until the context ends.
+	TakeTrial func(ctx context.Context, r suspect.Request) bool
 	// OnEnd is called at the end of each request that matched a route.
 	OnEnd func(Result)
 	// Sample reports whether a request that ended normally is logged.
@@ -145,7 +146,7 @@
 	defer context.AfterFunc(s.EndRequests, func() { end(errStopping) })()
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	if q.refusePoison(nil) {
+	if q.refusePoison(ctx, nil) {
 		return
 	}
 	s.CountFirst(q.service)
--- a/io/proxy/suspect.go
+++ b/io/proxy/suspect.go
@@ -3,6 +3,7 @@
 // This file defines how requests that crash servers are reported and refused.
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -45,9 +46,9 @@
 
 // refusePoison ends a request that must not run because it crashes servers, and reports
 // whether it did. It is called before each send; a placement, if there is one, is given up.
-func (q *request) refusePoison(g *placement.Decision) bool {
+func (q *request) refusePoison(ctx context.Context, g *placement.Decision) bool {
 	k, ok := q.server.Suspects.IsPoison(q.suspect())
-	if !ok || q.onTrial() {
+	if !ok || q.onTrial(ctx) {
 		return false
 	}
 	if g != nil {
@@ -59,11 +60,11 @@
 }
 
 // onTrial reports whether the request runs although it may crash servers. It is sent once, and soon.
-func (q *request) onTrial() bool {
+func (q *request) onTrial(ctx context.Context) bool {
 	if q.sends > 0 {
 		return false
 	}
-	if q.trialAt.IsZero() && q.server.TakeTrial(q.suspect()) {
+	if q.trialAt.IsZero() && q.server.TakeTrial(ctx, q.suspect()) {
 		q.trialAt = time.Now()
 		q.log("trial")
 	}
