A trial waits for its placement also when another culprit is found

A request that was let through as a trial was refused if anything was found to crash servers, or released, while it waited for its placement. The trial had no outcome, and the next one came 20 s later, then 80 s: with several culprits at once a sound segment that was condemned by mistake stayed refused for minutes.

Cause: the wait for a placement ends once the request is known to crash servers, which that of a trial is from the start; each change of culprits looks at all waiting requests anew.

Change: the wait of a trial is not ended.

TestTrialWaitsForPlacement failed before: "the wait ended: context canceled". It passes now.

--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -99,7 +99,9 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(q.server.EndPlacements, func() { end(errStopping) })()
-	defer q.server.Suspects.Watch(q.suspect(), func() { end(errPoison) })()
+	if q.trialAt.IsZero() {
+		defer q.server.Suspects.Watch(q.suspect(), func() { end(errPoison) })()
+	}
 	return q.server.Schedule(ctx, a)
 }
 
