A request whose wait for a placement ended takes no trial

A request that waited for its placement while its node learned of a culprit from another one asked for a trial, and was refused although it was granted, as the wait had ended. One that had its placement held a server while the arbiter was asked.

Cause: trials were asked for in the check before each send.

TestTrialNotTakenAfterWait failed before: "1 trials taken, want none". It passes now.

--- a/io/proxy/suspect.go
+++ b/io/proxy/suspect.go
@@ -45,10 +45,11 @@
 }
 
 // refusePoison ends a request that must not run because it crashes servers, and reports
-// whether it did. It is called before each send; a placement, if there is one, is given up.
+// whether it did. It is called before each send; a placement, if there is one, is given up. A trial is not asked
+// for after a placement was, as the wait for it may have ended and holds a server.
 func (q *request) refusePoison(ctx context.Context, g *placement.Decision) bool {
 	k, ok := q.server.Suspects.IsPoison(q.suspect())
-	if !ok || q.onTrial(ctx) {
+	if !ok || q.onTrial() || g == nil && q.takeTrial(ctx) {
 		return false
 	}
 	if g != nil {
@@ -60,15 +61,16 @@
 }
 
 // onTrial reports whether the request runs although it may crash servers. It is sent once, and soon.
-func (q *request) onTrial(ctx context.Context) bool {
-	if q.sends > 0 {
+func (q *request) onTrial() bool { return q.sends == 0 && time.Since(q.trialAt) < maxTrialDelay }
+
+// takeTrial reports whether the request was granted a trial, for which it asks once.
+func (q *request) takeTrial(ctx context.Context) bool {
+	if q.sends > 0 || !q.trialAt.IsZero() || !q.server.TakeTrial(ctx, q.suspect()) {
 		return false
 	}
-	if q.trialAt.IsZero() && q.server.TakeTrial(ctx, q.suspect()) {
-		q.trialAt = time.Now()
-		q.log("trial")
-	}
-	return time.Since(q.trialAt) < maxTrialDelay
+	q.trialAt = time.Now()
+	q.log("trial")
+	return true
 }
 
 // reportBroken reports that a server may have crashed while it ran the request.
--- a/io/proxy/suspect_test.go
+++ b/io/proxy/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -43,3 +44,17 @@
 		t.Errorf("the wait ended: %v", err)
 	}
 }
+
+// A request whose wait for a placement ended since it crashes servers is not put on trial: it would not be sent.
+func TestTrialNotTakenAfterWait(t *testing.T) {
+	c, _ := newCulprits(1)
+	asked := 0
+	q := &request{route: &relay.Route{}, meta: Meta{SegmentIDs: []uint64{1}}, hash: 1, out: httptest.NewRecorder()}
+	q.server = &Server{
+		Suspects: c, Log: zap.NewNop(), Report: func(placement.Report) {}, OnEnd: func(Result) {}, Sample: func(string) bool { return false },
+		Protocol: &Protocol{}, TakeTrial: func(context.Context, suspect.Request) bool { asked++; return true },
+	}
+	if q.placed(t.Context(), &placement.Decision{}, errPoison) || asked > 0 {
+		t.Errorf("%d trials taken, want none", asked)
+	}
+}
