io/peer: the wait for a trial is rounded up, as 0 grants one

A node that asked for a trial less than a microsecond before it was due, when nodes ask, took the answer for a grant, and a second request with what may crash servers ran beside the one that was granted the trial.

Cause: a wait is sent in microseconds, rounded down, and 0 means that the trial is granted.

TestTrialCodec failed with the old rounding: "1ns: got 0s, want 1µs". It passes now.

--- a/io/peer/culprits.go
+++ b/io/peer/culprits.go
@@ -32,6 +32,11 @@
 	return duration(w.Wait), nil
 }
 
+// wireTrial returns the answer to a question for a trial. A wait is rounded up, as 0 grants one.
+func wireTrial(wait time.Duration) *wire.CrashTrial {
+	return &wire.CrashTrial{Wait: micros(wait + time.Microsecond - 1)}
+}
+
 func wireCulprits(l []suspect.Notice, cleared []suspect.Request, now time.Time) *wire.CrashCulprits {
 	return &wire.CrashCulprits{Cleared: each(cleared, wireSuspect), Culprits: each(l, func(n suspect.Notice) wire.CrashCulprit {
 		return wire.CrashCulprit{
--- a/io/peer/placement.go
+++ b/io/peer/placement.go
@@ -56,7 +56,7 @@
 		reply(r, TypeCrashCulprits, wireCulprits(known, cleared, time.Now()))
 	})
 	handle(m, TypeCrashTrial, true, func(r *Request, b wire.CrashRequest) {
-		reply(r, TypeCrashTrial, &wire.CrashTrial{Wait: micros(h.Trial(suspectOf(b)))})
+		reply(r, TypeCrashTrial, wireTrial(h.Trial(suspectOf(b))))
 	})
 	handle(m, TypeMirrorAsk, true, func(r *Request, b wire.MirrorAsk) {
 		h.Tables(tablesQueryOf(b, time.Now()), func(t Tables) { reply(r, TypeMirror, wireTables(t, time.Now())) })
--- a/io/peer/placement_test.go
+++ b/io/peer/placement_test.go
@@ -51,6 +51,17 @@
 	}
 }
 
+// A trial is granted only by a wait of 0.
+func TestTrialCodec(t *testing.T) {
+	for wait, want := range map[time.Duration]time.Duration{0: 0, 1: time.Microsecond, time.Second: time.Second} {
+		var w wire.CrashTrial
+		throughFrame(t, TypeCrashTrial, wireTrial(wait), &w)
+		if got := duration(w.Wait); got != want {
+			t.Errorf("%v: got %v, want %v", wait, got, want)
+		}
+	}
+}
+
 // throughFrame encodes a body into a frame and decodes it into another.
 func throughFrame(t *testing.T, k Type, body, into any) {
 	t.Helper()
