core/suspect: the check of a request walks no recorded crashes

Each request is checked for culprits on arrival and before each send, and each check looked for expired crashes under the lock that all requests share, reading the clock twice for each. Crashes are kept for two hours now, also those of which a response has cleared all requests, which no bound counts.

Change: what has expired is deleted once a second at most.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -21,6 +21,8 @@
 	// searchInterval is the minimum time between two searches for culprits while only
 	// reports arrive.
 	searchInterval = 50 * time.Millisecond
+	// expireInterval is the minimum time between two passes that delete what has expired.
+	expireInterval = time.Second
 	// maxCounted bounds the requests and segments in all recorded crashes together; the
 	// oldest crashes are evicted first, those of culprits last.
 	maxCounted = 4096
@@ -43,6 +45,7 @@
 	index      index    // of crashes
 	stale      bool     // crashes changed since the last search
 	searchedAt time.Time
+	expiredAt  time.Time
 	culprits   []Culprit // found in crashes, then those adopted
 	notices    notices   // of all culprits
 	trials     trials
@@ -118,27 +121,36 @@
 	return x
 }
 
-// evict deletes expired crashes and notices, and the oldest crashes if too much is counted. The lock is
-// held.
+// evict deletes what has expired, and the oldest crashes if too much is counted. The lock is held.
 func (c *Counter) evict() {
-	if c.notices.expire(c.now()) {
-		c.stale = true
+	if now := c.now(); now.Sub(c.expiredAt) >= expireInterval {
+		c.expiredAt = now
+		c.expire(now)
 	}
-	remove := func(i int) {
-		for _, r := range c.crashes[i].requests {
-			c.counted -= r.size()
-		}
-		c.crashes = slices.Delete(c.crashes, i, i+1)
+	for c.counted > maxCounted && len(c.crashes) > 1 {
+		c.remove(c.oldest())
+	}
+}
+
+// expire deletes expired crashes and notices. The lock is held.
+func (c *Counter) expire(now time.Time) {
+	if c.notices.expire(now) {
 		c.stale = true
 	}
 	for i := len(c.crashes) - 1; i >= 0; i-- {
-		if x := c.crashes[i]; c.now().Sub(x.at) > countedFor && c.now().Sub(x.usedAt) > crashTTL {
-			remove(i)
+		if x := c.crashes[i]; now.Sub(x.at) > countedFor && now.Sub(x.usedAt) > crashTTL {
+			c.remove(i)
 		}
 	}
-	for c.counted > maxCounted && len(c.crashes) > 1 {
-		remove(c.oldest())
+}
+
+// remove deletes a crash. The lock is held.
+func (c *Counter) remove(i int) {
+	for _, r := range c.crashes[i].requests {
+		c.counted -= r.size()
 	}
+	c.crashes = slices.Delete(c.crashes, i, i+1)
+	c.stale = true
 }
 
 // oldest returns the index of the crash whose culprit was resent longest ago, of those without a
--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -264,3 +264,18 @@
 		c.ObserveResponse(r)
 	}
 }
+
+// The check of a request costs little, however many servers crashed in the last hours.
+func BenchmarkIsPoison(b *testing.B) {
+	now := time.Now().Add(-time.Hour)
+	c := &Counter{Now: func() time.Time { return now }}
+	for i := range 1000 {
+		now = now.Add(time.Second)
+		c.ObserveCrash(strconv.Itoa(i), []Request{req(1, uint64(i))})
+		c.ObserveSuccess(req(1, uint64(i)))
+	}
+	c.Now = time.Now
+	for b.Loop() {
+		c.IsPoison(req(2, 3000))
+	}
+}
