core/suspect: notices look only at the crashes that their culprits were in

A search for culprits ends with the notices, each of which looked through all recorded crashes twice, under the lock that all requests take: with 400 culprits that took longer than the search itself, which had mended.

Change: the crashes are listed by request and segment once for a search.

--- a/core/suspect/index.go
+++ b/core/suspect/index.go
@@ -1,5 +1,7 @@
 package suspect
 
+import "slices"
+
 // index says what may be in recorded crashes, so that a response that clears nothing, as nearly all do, costs no walk
 // through them. It also holds some of what was in evicted crashes. The zero value is empty. It is not safe
 // for concurrent use.
@@ -43,3 +45,36 @@
 	}
 	return x.size() < before
 }
+
+// crashSightings lists the crashes, oldest first, that a request or segment was in.
+type crashSightings struct {
+	fingerprints, segments map[uint64][]*crash
+}
+
+// sightCrashes returns the sightings in crashes.
+func sightCrashes(crashes []*crash) crashSightings {
+	s := crashSightings{map[uint64][]*crash{}, map[uint64][]*crash{}}
+	add := func(m map[uint64][]*crash, id uint64, x *crash) {
+		if l := m[id]; len(l) == 0 || l[len(l)-1] != x {
+			m[id] = append(l, x)
+		}
+	}
+	for _, x := range crashes {
+		for _, r := range x.requests {
+			add(s.fingerprints, r.Fingerprint, x)
+			for _, id := range r.Segments {
+				add(s.segments, id, x)
+			}
+		}
+	}
+	return s
+}
+
+// of returns the crashes of a culprit.
+func (s *crashSightings) of(k Culprit) []*crash {
+	l := s.fingerprints[k.Fingerprint]
+	if len(k.Segments) > 0 {
+		l = s.segments[k.Segments[0]]
+	}
+	return slices.DeleteFunc(slices.Clone(l), func(x *crash) bool { return !slices.ContainsFunc(x.requests, k.matches) })
+}
--- a/core/suspect/notices.go
+++ b/core/suspect/notices.go
@@ -72,10 +72,9 @@
 	return len(t.l) < n
 }
 
-// observe adds to a notice the crashes of its culprit that this node has recorded. One that came so late after
+// observe adds to a notice the crashes of its culprit, l, that this node has recorded. One that came so late after
 // the one before that the culprit was refused everywhere by then is that of a trial.
-func (n *Notice) observe(crashes []*crash) {
-	l := slices.DeleteFunc(slices.Clone(crashes), func(x *crash) bool { return !slices.ContainsFunc(x.requests, n.matches) })
+func (n *Notice) observe(l []*crash) {
 	var t tally
 	trials, last := 0, time.Time{}
 	if n.From != "" {
@@ -99,6 +98,7 @@
 // setOwn sets the culprits that the node has found in its recorded crashes.
 func (t *notices) setOwn(own []Culprit, crashes []*crash) {
 	t.l = slices.DeleteFunc(t.l, func(x Notice) bool { return x.From == "" && !slices.ContainsFunc(own, x.same) })
+	s := sightCrashes(crashes)
 	for _, k := range own {
 		n := Notice{Culprit: k}
 		if i := slices.IndexFunc(t.l, func(x Notice) bool { return x.same(k) }); i >= 0 {
@@ -106,15 +106,15 @@
 			n.Culprit = k
 			t.l = slices.Delete(t.l, i, i+1)
 		}
-		for _, x := range crashes {
-			if n.RenewedAt.Before(x.usedAt) && slices.ContainsFunc(x.requests, k.matches) {
+		for _, x := range s.of(k) {
+			if n.RenewedAt.Before(x.usedAt) {
 				n.RenewedAt = x.usedAt
 			}
 		}
 		t.l = append(t.l, n)
 	}
 	for i := range t.l {
-		t.l[i].observe(crashes)
+		t.l[i].observe(s.of(t.l[i].Culprit))
 	}
 }
 
--- a/core/suspect/search_test.go
+++ b/core/suspect/search_test.go
@@ -33,8 +33,8 @@
 }
 
 func BenchmarkSearch(b *testing.B) {
-	l := deadlyPairs(400)
+	c := &Counter{crashes: deadlyPairs(400)}
 	for b.Loop() {
-		findCulprits(l)
+		c.search()
 	}
 }
