--- a/core/suspect/index.go
+++ b/core/suspect/index.go
@@ -1,9 +1,12 @@
 package suspect
 
+// This file defines how recorded crashes are found by what was in them, so that requests and searches need not walk
+// through all of them.
+
 import "slices"
 
-// index says what may be in recorded crashes, so that a response that clears nothing, as nearly all do, costs no walk
-// through them. It also holds some of what was in evicted crashes. The zero value is empty. It is not safe
+// index says what may be in recorded crashes. A response that clears nothing, as nearly all do, looks no further. It
+// also holds some of what was in evicted crashes. The zero value is empty. It is not safe
 // for concurrent use.
 type index struct {
 	fingerprints, segments map[uint64]struct{}
