Releases of stage results share connections again

What servers and operators saw: three times as many new connections as on, one for each release, each of which may hold a place at its server for a moment.

Cause: since a connection is used again only after a response with a mark, so that a late copy is not taken for the response to another batch. The response to a release has none.

Change: requests may say that they are interchangeable: a copy of the response to an earlier one in place of the own one does no harm. They have connections of their own, which no batch gets. At worst results of stages count as released some time before they are; the next response finds the bytes of the due one, and the connection is closed.

TestSoak and the tests of repeated responses pass.

--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -244,6 +244,7 @@
 	status := 0
 	if err == nil {
 		q.Guard = h.guard.messageGuard(&f.Server)
+		q.Interchangeable = true // at worst, results count as released some time before they are
 		status, _, err = h.pool.Whole(ctx, q, maxStageResponse, func(_ int, b []byte) (string, error) {
 			return platform.StageMark(b), platform.StageReleased(b)
 		})
--- a/io/exchange/conn.go
+++ b/io/exchange/conn.go
@@ -18,7 +18,9 @@
 	idleSince time.Time
 	tainted   bool   // a response to another request was read from it
 	echo      string // Request.Echo of its requests
-	seen      ids
+	// interchangeable is Request.Interchangeable of its requests.
+	interchangeable bool
+	seen            ids
 }
 
 // isNew adds a mark to the known ones, and returns false if it was known. A connection knows its marks for
@@ -34,7 +36,9 @@
 // mayCarry reports whether a request may be sent on a connection that was used before: its requests had
 // their ids in the same header, if any, and none had that of r. A copy of an earlier response is then
 // told from that to r.
-func (c *conn) mayCarry(r *Request) bool { return c.echo == r.Echo && !c.seen.has(r.id()) }
+func (c *conn) mayCarry(r *Request) bool {
+	return c.echo == r.Echo && c.interchangeable == r.Interchangeable && !c.seen.has(r.id())
+}
 
 // reusable reports whether the connection can be used for another request.
 func (c *conn) reusable() bool {
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -42,8 +42,11 @@
 	// Echo names a header that the server repeats in its response; a response with another value
 	// belongs to another request. If empty, this is not checked. The pool sends a value once on a
 	// connection.
-	Echo  string
-	Guard Guard
+	Echo string
+	// Interchangeable says that the response to an earlier such request will do if it comes once more in place of
+	// this one's. Connections of such requests carry no others, and are used again without a mark of Whole.
+	Interchangeable bool
+	Guard           Guard
 }
 
 // Response is a response whose header was read. Body ends with io.EOF only if it is
@@ -124,7 +127,7 @@
 	if err != nil {
 		return nil, nil, &UnsentError{Refused: refused(err), Cause: err}
 	}
-	c.echo = r.Echo
+	c.echo, c.interchangeable = r.Echo, r.Interchangeable
 	if err := r.Guard.admit(ctx); err != nil {
 		p.put(c)
 		return nil, nil, &UnsentError{Cause: err}
@@ -150,7 +153,7 @@
 
 // Whole sends a request whose server echoes no id, and reads its whole response. A response with the mark
 // of an earlier one is a copy and is skipped. After one without a mark the connection is not used again,
-// as nothing would tell a copy of it from the response to the next request. If the response does not
+// as nothing would tell a copy of it from the response to the next request, unless these are interchangeable. If the response does not
 // belong to the request, or is longer than limit bytes, the exchange counts as broken off.
 func (p *Pool) Whole(ctx context.Context, r *Request, limit int64, identify Identify) (int, []byte, error) {
 	a, body, err := p.do(ctx, r) //nolint:bodyclose // ended below
@@ -163,7 +166,7 @@
 		b, mark, err = readWhole(a, limit, identify)
 		if body.conn.isNew(mark) {
 			r.Guard.onHead(a.StatusCode, a.Header)
-			body.reuse = mark != "" && framed(a) && !a.Close
+			body.reuse = (mark != "" || r.Interchangeable) && framed(a) && !a.Close
 			break
 		}
 		body.conn.onForeign(r, a.StatusCode)
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -157,8 +157,10 @@
 }
 
 // whole sends a request whose server repeats no id; the body of its response is its mark.
-func (s *script) whole(ctx context.Context) (string, error) {
-	r := &Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h"}
+func (s *script) whole(ctx context.Context) (string, error) { return s.wholeOf(ctx, false) }
+
+func (s *script) wholeOf(ctx context.Context, interchangeable bool) (string, error) {
+	r := &Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Interchangeable: interchangeable}
 	_, b, err := s.pool.Whole(ctx, r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
 	return string(b), err
 }
@@ -232,6 +234,22 @@
 	})
 }
 
+// Interchangeable requests share a connection, also without marks, and no other request gets it.
+func TestInterchangeableRequests(t *testing.T) {
+	run(t, func(s *script) {
+		for i, c := range []struct {
+			interchangeable bool
+			response        string
+			conns           int
+		}{{true, "", 1}, {true, "", 1}, {false, "m1", 2}, {true, "", 2}, {false, "m2", 2}, {false, "", 2}, {false, "m3", 3}} {
+			s.responses <- okResponse("", c.response)
+			if got, err := s.wholeOf(context.Background(), c.interchangeable); got != c.response || err != nil || s.conns != c.conns {
+				t.Errorf("request %d: got %q %v on %d connections, want %q on %d", i, got, err, s.conns, c.response, c.conns)
+			}
+		}
+	})
+}
+
 // Bytes after a complete response are not taken for the response to the next request.
 func TestExtraBytes(t *testing.T) {
 	run(t, func(s *script) {
