Stand-ins wait for no time without a timer: the race detector failed inside itself

Trace: 120 runs of the tests of io/backend with -race beside load: 11 failed, each in TestCutResponse, one of them at tsan_rtl.cpp:282 (slot_locked). TestCutResponse alone, 60 runs each: 6 failed; 2 without asynchronous preemption; 4 with GOMAXPROCS=2, of which two were a SIGSEGV; none with GOMAXPROCS=1; with GOGC=off one SIGSEGV. The three SIGSEGVs have the same stack: a select on the timer of Network.wait with a duration of zero, in which the runtime runs the due timer on the selecting goroutine (maybeRunChan). All goroutines of a synctest bubble that do so at the same time use one race context, which is inferred: it explains both checks, and that one processor is enough to avoid it.

No test changed.

Not excluded: timers with a time above zero that are due at the same instant.

--- a/io/standin/network.go
+++ b/io/standin/network.go
@@ -136,6 +136,9 @@
 
 // wait waits for d, and reports whether neither the context ended nor the network closed meanwhile.
 func (n *Network) wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return !n.ended(ctx)
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -147,6 +150,17 @@
 	return false
 }
 
+// ended reports whether the context has ended or the network is closed.
+func (n *Network) ended(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+	case <-n.closing():
+	default:
+		return false
+	}
+	return true
+}
+
 func (n *Network) closing() chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
