Tables: the first poll of a node that begins to read the store is not held

From 7.9 to 11.9 s 74 of 75 nodes turn to the store, and each logs an age of the tables that counts from the same moment, 6.33 s. A table counts as confirmed while the store may hold a poll for it, 10 s for the nodes. edge-pampa-norte-2, the reader, last had a response to that poll at -3.7 s; the store reset it at 2.5 s, and edge-pampa-oeste-1 replaced it at 3.9 s. Its first poll of the nodes was held too, until 13.9 s: from 6.33 s on nothing confirmed that table, and tables are as old as the oldest of the three. So no node was fresh for another one, all read the store in attempts of 0.5 s with pauses of some seconds, and those whose attempt the store reset, or fell between two versions, had neither the store nor a source. The same held after a lost response to a poll of the nodes, as the retry was held again.

Ruled out: the decision about outages, which does not choose sources; the choice of a source, as there was no fresh one until 14.4 s.

Change: a poll is held only if the last call in the present period of reading succeeded. The switch counts the periods. The simulation of core/fanout, whose first polls were never held, now counts the two calls more of each period.

Test: TestLostDuringLongPoll, 52 nodes. Before: 24 to 32 nodes read the store after the loss of both readers (want 2), 13 to 17 lack the configuration after 2.5 s; 32 and 39 nodes after two lost responses. Now 3 of 3 runs pass each.

--- a/core/fanout/sim_test.go
+++ b/core/fanout/sim_test.go
@@ -160,6 +160,10 @@
 			d.poll(d.polls, serversInterval)
 			d.poll(d.polls, operatorPoll)
 			d.poll(d.polls, nodesPoll)
+			if f := d.fleet; f.refuses == nil || !f.refuses(d) {
+				d.call(false) // after the first polls of two tables, which are not held
+				d.call(false)
+			}
 		}
 	}
 	d.query(s)
--- a/io/edge/tables_test.go
+++ b/io/edge/tables_test.go
@@ -36,6 +36,17 @@
 	return n
 }
 
+// readers returns the nodes that call the store while time passes.
+func (w *testFleet) readers(d time.Duration) []string {
+	var l []string
+	for name, n := range w.storeCalls(d) {
+		if n > 0 {
+			l = append(l, name)
+		}
+	}
+	return l
+}
+
 // One node of each region reads the store, and not the coordinator if there is another one.
 func TestOneReaderPerRegion(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
@@ -115,6 +126,55 @@
 	})
 }
 
+// The readers, or the responses to their polls of the table of nodes, are lost when these polls have nearly
+// ended. Those that read the store then confirm all tables at once: the other nodes need not read it when the
+// time has passed for which that table was confirmed, and a configuration is in force within the platform's
+// bound.
+func TestLostDuringLongPoll(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(w *testFleet) (lost []string)
+	}{
+		{"readers", func(w *testFleet) []string {
+			lost := w.readers(time.Second)
+			for _, n := range lost {
+				w.net.SetHost(w.nodes[n].node.Settings.IP, standin.HostGone)
+			}
+			time.Sleep(5 * time.Second)
+			return lost
+		}},
+		{"responses", func(w *testFleet) []string {
+			w.store.SilenceFeeds("nodes", 2)
+			for w.store.SilentFeeds("nodes") > 0 { // until both readers have sent such a poll
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(nodesLongPoll + 5*time.Second)
+			return nil
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runFleet(t, func(w *testFleet) {
+				for i := range 48 {
+					w.start(fmt.Sprint("abc"[i%3:i%3+1], 3+i), fmt.Sprint("10.0.1.", i))
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(nodesLongPoll - 2*time.Second)
+				lost := c.lose(w)
+				w.configure(2, nil)
+				if got := w.readers(configApply); len(got) > 2 {
+					t.Errorf("%d nodes read the store, want 2 at most", len(got))
+				}
+				synctest.Wait()
+				for name, n := range w.nodes {
+					if got := n.node.cache.View().Config.Version; got != 2 && !slices.Contains(lost, name) {
+						t.Errorf("%s: got version %d after %v, want 2", name, got, configApply)
+					}
+				}
+			})
+		})
+	}
+}
+
 // The store refuses all nodes of a region: they get the tables from another region.
 func TestStoreRefusesRegion(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
--- a/io/edge/tablewatch.go
+++ b/io/edge/tablewatch.go
@@ -39,7 +39,7 @@
 // Its lock is held while onChange updates the caches.
 type tableWatch struct {
 	table    string
-	longPoll time.Duration // how long the store holds a poll
+	longPoll time.Duration // how long the store holds a poll, but for the first of a period of reading
 	interval time.Duration // pause between polls
 	store    *platform.Store
 	log      *zap.Logger
@@ -61,16 +61,27 @@
 // run reads the table from the store while reading is on, until the context ends.
 func (f *tableWatch) run(ctx context.Context) {
 	pause := retryMin
-	for f.reading.wait(ctx) {
-		err := f.poll(ctx)
+	confirmed := 0 // the period of reading in which the last call succeeded
+	for {
+		period := f.reading.wait(ctx)
+		if period == 0 {
+			return
+		}
+		// A poll that is held confirms nothing until it ends, and the last confirmation may be old.
+		hold := f.longPoll
+		if period != confirmed {
+			hold = 0
+		}
+		err := f.poll(ctx, hold)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			pause = retryMin
+			pause, confirmed = retryMin, period
 			wait.Sleep(ctx, f.interval)
 			continue
 		}
+		confirmed = 0
 		if errors.Is(err, platform.ErrHistory) {
 			f.onHistoryLost()
 			continue
@@ -81,15 +92,16 @@
 	}
 }
 
-// poll reads the changes since the last version, or the whole table if they are not available.
-func (f *tableWatch) poll(ctx context.Context) error {
+// poll reads the changes since the last version, or the whole table if they are not available. The store
+// may hold the poll for a time until there are changes.
+func (f *tableWatch) poll(ctx context.Context, hold time.Duration) error {
 	f.mu.Lock()
 	version, whole := f.copy.Version(), f.readWhole || f.copy.Version() == 0
 	f.mu.Unlock()
 	if whole {
 		return f.read(ctx)
 	}
-	r, err := f.store.Changes(ctx, f.table, version, f.longPoll)
+	r, err := f.store.Changes(ctx, f.table, version, hold)
 	if err != nil {
 		return err
 	}
@@ -196,6 +208,7 @@
 type readSwitch struct {
 	mu      sync.Mutex
 	on      bool
+	period  int           // how many times it was switched on
 	changed chan struct{} // closed when it is switched on
 }
 
@@ -207,6 +220,9 @@
 		return false
 	}
 	s.on = on
+	if on {
+		s.period++
+	}
 	if on && s.changed != nil {
 		close(s.changed)
 		s.changed = nil
@@ -214,13 +230,14 @@
 	return true
 }
 
-// wait waits until reading is on and reports true, or false when the context ends.
-func (s *readSwitch) wait(ctx context.Context) bool {
+// wait waits until reading is on and returns the number of the period of reading, from 1, or 0 when the
+// context ends.
+func (s *readSwitch) wait(ctx context.Context) int {
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		if s.on {
-			s.mu.Unlock()
-			return true
+			defer s.mu.Unlock()
+			return s.period
 		}
 		if s.changed == nil {
 			s.changed = make(chan struct{})
@@ -232,5 +249,5 @@
 		case <-c:
 		}
 	}
-	return false
+	return 0
 }
