io/exchange: the end of a long body is read through the connection's buffer

Callers saw: a server that stops inside a body and writes another response, late, on the same connection: the start of that response fills up the body, and the caller gets it as a whole one (MIXED).

Cause: a read of at least the size of the buffer goes past it, so that what the server sent after the body stays in the kernel, and the check at the end of the body finds an empty buffer.

Change: if a read could take the rest of a body past the buffer, it leaves one byte, which is then read through it. One read more for bodies that had at least 4 KiB left; nothing for others.

What remains: bytes that are no response, and a head whose rest arrives after the last byte of the body.

--- a/io/exchange/body.go
+++ b/io/exchange/body.go
@@ -15,6 +15,7 @@
 	stop    func() bool
 	reuse   bool
 	done    bool
+	left    int64 // bytes still to be read; -1 if unknown
 	scan    bodyScan
 }
 
@@ -23,7 +24,14 @@
 	if b.done {
 		return 0, io.EOF
 	}
+	// The last bytes of a body are read through the buffer of the connection, which then has what follows them.
+	if b.left >= readBuffer && int64(len(p)) >= b.left {
+		p = p[:b.left-1]
+	}
 	n, err := b.ReadCloser.Read(p)
+	if b.left > 0 {
+		b.left -= int64(n)
+	}
 	if b.scan.found(p[:n]) || err == io.EOF && b.scan.joins(b.conn.buffered()) {
 		n, err = 0, errJoinedBody
 	}
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -143,7 +143,10 @@
 	}
 	// A copy of a response to HEAD would take the length of its missing body from the response that follows.
 	reuse := r.Echo != "" && !a.Close && framed(a) && r.Method != http.MethodHead
-	return a, &body{ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse, scan: bodyScan{echo: r.Echo, seen: c.seen}}, nil
+	return a, &body{
+		ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse, left: a.ContentLength,
+		scan: bodyScan{echo: r.Echo, seen: c.seen},
+	}, nil
 }
 
 // Identify decides whether a response belongs to a request whose server echoes no id. It returns a mark
--- a/io/exchange/joined_test.go
+++ b/io/exchange/joined_test.go
@@ -105,17 +105,31 @@
 }
 
 // A server stops inside a body and responds once more on the same connection, to this request or to an earlier one:
-// the second response does not fill up the first, wherever the first would end. A body that reads like the response to
-// another request is whole, and so is one that is followed by another response.
+// the second response does not fill up the first, wherever the first would end and however long it is. A body that
+// reads like the response to another request is whole, and so is one that is followed by another response.
 func TestResponseInsideBody(t *testing.T) {
 	type test struct {
-		length, id string
-		broken     bool
+		half, id string
+		fill     int // bytes of the second response that the body holds; -1: it ends with its connection
+		read     func(io.Reader) ([]byte, error)
+		broken   bool
 	}
-	l := []test{{"", "due", true}, {"", "any", false}}
-	for n := len("half"); n <= 60; n++ {
-		length := fmt.Sprintf("Content-Length: %d\r\n", n)
-		l = append(l, test{length, "due", n > len("half")}, test{length, "old", n > len("half")}, test{length, "any", false})
+	bytewise := func(r io.Reader) ([]byte, error) { return io.ReadAll(iotest.OneByteReader(r)) }
+	atOnce := func(r io.Reader) ([]byte, error) {
+		b := make([]byte, 64<<10)
+		n, err := io.ReadFull(r, b)
+		if err == io.ErrUnexpectedEOF {
+			err = nil
+		}
+		return b[:n], err
+	}
+	long := strings.Repeat("long", 3<<10)
+	l := []test{{"half", "due", -1, bytewise, true}, {"half", "any", -1, bytewise, false}}
+	for n := range 57 {
+		for _, id := range []string{"due", "old", "any"} {
+			broken := n > 0 && id != "any"
+			l = append(l, test{"half", id, n, bytewise, broken}, test{long, id, n, atOnce, broken})
+		}
 	}
 	for _, c := range l {
 		run(t, func(s *script) {
@@ -123,13 +137,17 @@
 			if _, _, err := s.do(context.Background(), "old"); err != nil {
 				t.Error(err)
 			}
-			s.responses <- "HTTP/1.1 200 OK\r\nId: due\r\n" + c.length + "\r\nhalfHTTP/1.1 200 OK\r\nX-A: b\r\nid: " + c.id + "\r\n\r\n" + strings.Repeat("fill", 9) + cut
+			length := ""
+			if c.fill >= 0 {
+				length = fmt.Sprintf("Content-Length: %d\r\n", len(c.half)+c.fill)
+			}
+			s.responses <- "HTTP/1.1 200 OK\r\nId: due\r\n" + length + "\r\n" + c.half + "HTTP/1.1 200 OK\r\nX-A: b\r\nid: " + c.id + "\r\n\r\n" + strings.Repeat("fill", 9) + cut
 			r, err := s.open(http.MethodGet, "due")
 			if err != nil {
 				t.Fatal(err)
 			}
-			if b, err := io.ReadAll(iotest.OneByteReader(r.Body)); (err != nil) != c.broken || s.conns != 1 {
-				t.Errorf("%q, response to %s inside the body: got %q %v", c.length, c.id, b, err)
+			if b, err := c.read(r.Body); (err != nil) != c.broken || s.conns != 1 {
+				t.Errorf("%d bytes of the response to %s inside a body of %d: got %d bytes, %v", c.fill, c.id, len(c.half)+c.fill, len(b), err)
 			}
 			_ = r.Body.Close()
 		})
