Two requests in progress with the same id are two requests to their coordinator

The users' PROTOCOL.md says that each attempt has its own id, so such a caller is not a proper one; but a proper one can be hit, if another uses its id.

Cause: core/placement took what a caller chose, the id, for the identity of a request in progress; so did the node for the reports on it.

Change: a request is known by a Key, its id and a number that its node draws. Tasks, headers and log lines have the id as before.

Test: TestRepeatedIDInProgress, at one node and at two; the first caller leaves after 0.25 s, after 1 s or not at all. On the code before: [a1 a1], the first caller leaves after 250ms: the second one got 503 "not run, come back later" [a1 a1]: the first one got 503 "not run, come back later" and the same for [a1 a2] and [a2 a2]. Now both get their whole streams, with their own inputs. io/edge: ok, 35 s.

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -83,7 +83,7 @@
 func (h *Scheduler) onTaskResult(c *batch, p *task, r TaskResult, counted bool) {
 	m, bytes := c.stageServer, p.stage.request.ResultBytes
 	p.stage.inBatch--
-	alive := h.jobs[p.job.request.ID] == p.job && !p.stage.released
+	alive := h.jobs[p.job.request.Key] == p.job && !p.stage.released
 	if r.Status == TaskDone && !alive {
 		m.queueRelease(r.Handle, bytes, h.Now())
 		return
--- a/core/placement/fair_test.go
+++ b/core/placement/fair_test.go
@@ -21,7 +21,7 @@
 			}
 		}
 		for _, a := range running {
-			b.scheduler.OnReport(Report{ID: a.ID, Server: a.Server.ID, Status: RunDone})
+			b.scheduler.OnReport(Report{Key: Key{ID: a.ID}, Server: a.Server.ID, Status: RunDone})
 		}
 		running = nil
 		for _, a := range b.decisions {
--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -17,8 +17,8 @@
 // their batches in progress have ended. Requests submitted later are placed as usual.
 func (h *Scheduler) HandOver() {
 	h.init()
-	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
-		j := h.jobs[id]
+	for _, k := range slices.SortedFunc(maps.Keys(h.jobs), Key.compare) {
+		j := h.jobs[k]
 		if j.granted != nil {
 			continue
 		}
@@ -41,13 +41,13 @@
 			return
 		}
 	}
-	a := Decision{ID: j.request.ID, Attempt: j.request.Attempt, Reason: ReasonMoved, Waited: h.Now().Sub(j.arrived), Progress: j.progress()}
+	a := Decision{Key: j.request.Key, Attempt: j.request.Attempt, Reason: ReasonMoved, Waited: h.Now().Sub(j.arrived), Progress: j.progress()}
 	for _, s := range j.stages {
 		s.released = true // the next coordinator releases the results
 	}
 	a.InBatches = h.inBatches(j)
 	h.work.Decisions = append(h.work.Decisions, a)
-	h.forget(j.request.ID)
+	h.forget(j.request.Key)
 }
 
 // progress returns the results that exist for a job.
@@ -78,11 +78,11 @@
 	reported := map[*job]bool{}
 	for _, p := range b.tasks {
 		j := p.job
-		if h.jobs[j.request.ID] != j || j.granted != nil || reported[j] {
+		if h.jobs[j.request.Key] != j || j.granted != nil || reported[j] {
 			continue
 		}
 		reported[j] = true
-		h.work.Progress = append(h.work.Progress, ProgressReport{ID: j.request.ID, Attempt: j.request.Attempt, Progress: j.progress()})
+		h.work.Progress = append(h.work.Progress, ProgressReport{Key: j.request.Key, Attempt: j.request.Attempt, Progress: j.progress()})
 	}
 }
 
--- a/core/placement/harness_test.go
+++ b/core/placement/harness_test.go
@@ -89,7 +89,7 @@
 // submit submits a request with n tasks of one encode stage.
 func (b *harness) submit(id string, n int, bytes int64, change func(*Request)) {
 	a := Request{
-		ID: id, Service: "model", InputKey: "key-" + id, Tokens: 500, Goal: 2 * time.Second, Remaining: 4 * time.Second,
+		Key: Key{ID: id}, Service: "model", InputKey: "key-" + id, Tokens: 500, Goal: 2 * time.Second, Remaining: 4 * time.Second,
 		Stages: []StageRequest{{Service: "encode", ResultBytes: bytes, Tasks: n}},
 	}
 	if change != nil {
--- a/core/placement/holdoff_test.go
+++ b/core/placement/holdoff_test.go
@@ -54,7 +54,7 @@
 		b.submit("1", 1, 1000, nil)
 		s := b.completeBatch().Server
 		b.scheduler.HoldOff(s.Process(), c.held)
-		b.scheduler.OnReport(Report{ID: "1", Server: b.decisions[0].Server.ID, Status: RunDone})
+		b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: b.decisions[0].Server.ID, Status: RunDone})
 		b.advance(c.held - time.Millisecond)
 		b.want("releases during the hold-off", len(b.releases), 0)
 		b.advance(time.Millisecond)
--- a/core/placement/lostinputs_test.go
+++ b/core/placement/lostinputs_test.go
@@ -156,7 +156,7 @@
 		b.keepServers("encode-a", "model-a")
 		b.submit("1", 0, 0, nil)
 		b.submit("1", 2, mebibyte, nil)
-		b.scheduler.OnReport(Report{ID: "1", Server: b.decisions[0].Server.ID, Status: e})
+		b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: b.decisions[0].Server.ID, Status: e})
 		b.completeOn("encode-a")
 		b.want("decisions", len(b.decisions), 2)
 	}
@@ -168,7 +168,7 @@
 		b := newHarness(t)
 		b.keepServers("encode-a", "model-a")
 		b.submit("1", tasks, mebibyte, nil)
-		b.scheduler.OnReport(Report{ID: "1", Status: RunAbandoned})
+		b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Status: RunAbandoned})
 		b.want("jobs", len(b.scheduler.jobs), 0)
 	}
 }
--- a/core/placement/modelserver_test.go
+++ b/core/placement/modelserver_test.go
@@ -32,8 +32,8 @@
 	shared := func(a *Request) { a.Segments = []PromptSegment{{Hash: 7, Tokens: 500}, {Hash: 9, Tokens: 900}} }
 	b.submit("1", 0, 0, shared)
 	server := b.decisions[0].Server.ID
-	b.scheduler.OnReport(Report{ID: "1", Server: server, Status: RunStarted})
-	b.scheduler.OnReport(Report{ID: "1", Server: server, Status: RunDone})
+	b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: server, Status: RunStarted})
+	b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: server, Status: RunDone})
 	b.submit("2", 0, 0, shared)
 	b.want("second request's server", b.decisions[1].Server.ID, server)
 	b.want("second request's KV source", b.decisions[1].KVSource, "")
@@ -64,7 +64,7 @@
 	b.keepServers("model-a", "model-b")
 	b.submit("1", 0, 0, nil)
 	bad := b.decisions[0].Server.ID
-	b.scheduler.OnReport(Report{ID: "1", Server: bad, Status: RunConnectionLost})
+	b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: bad, Status: RunConnectionLost})
 	b.submit("2", 0, 0, nil)
 	if b.decisions[1].Server.ID == bad {
 		t.Errorf("%s got the next request", bad)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -9,6 +9,8 @@
 package placement
 
 import (
+	"cmp"
+	"strings"
 	"time"
 
 	"bergamotspring/core/relay"
@@ -17,7 +19,7 @@
 // Request is a model request to be placed. Durations count from when the scheduler received
 // it.
 type Request struct {
-	ID       string // request ID; unique among the requests in progress
+	Key
 	Attempt  int    // number of earlier submissions by the node
 	Service  string // of the model servers
 	Stages   []StageRequest
@@ -46,6 +48,16 @@
 	InBatches []ServerBytes
 }
 
+// Key identifies a request among those in progress.
+type Key struct {
+	ID    string // that the caller gave it
+	Nonce uint64 // chosen by the request's node; tells apart requests that callers gave the same ID
+}
+
+func (k Key) compare(o Key) int {
+	return cmp.Or(strings.Compare(k.ID, o.ID), cmp.Compare(k.Nonce, o.Nonce))
+}
+
 // StageProgress is the progress of one stage of a request.
 type StageProgress struct {
 	Stage    int
@@ -83,7 +95,7 @@
 
 // Decision answers a Request: with a grant, or with a refusal if Server is empty.
 type Decision struct {
-	ID       string
+	Key
 	Attempt  int // of the request
 	Server   relay.Server
 	Inputs   []string // handles for the model server
@@ -170,7 +182,7 @@
 // ProgressReport states which results exist for a request that waits. The node of the request keeps
 // it for the next coordinator, should this one crash.
 type ProgressReport struct {
-	ID       string
+	Key
 	Attempt  int // of the request
 	Progress []StageProgress
 }
@@ -212,7 +224,7 @@
 
 // Report tells the scheduler about the run of a granted request.
 type Report struct {
-	ID      string
+	Key
 	Attempt int // of the request that was granted; messages may overtake each other
 	Server  string
 	Status  RunStatus
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -173,7 +173,7 @@
 	b := newHarness(t)
 	b.keepServers("encode-a", "model-a")
 	b.submit("1", 2, mebibyte, nil)
-	b.scheduler.Withdraw("1", 0)
+	b.scheduler.Withdraw(Key{ID: "1"}, 0)
 	b.collect()
 	b.completeBatch()
 	b.want("releases of results of the withdrawn request", len(b.releases), 1)
@@ -254,8 +254,8 @@
 	b.completeBatch()
 	server := b.decisions[0].Server.ID
 	b.submit("1", 1, 1000, func(a *Request) { a.Attempt, a.Avoid = 1, []string{server} })
-	b.scheduler.OnReport(Report{ID: "1", Server: server, Status: RunConnectionLost})
-	b.scheduler.Withdraw("1", 0)
+	b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: server, Status: RunConnectionLost})
+	b.scheduler.Withdraw(Key{ID: "1"}, 0)
 	b.collect()
 	b.completeBatch()
 	if len(b.decisions) != 2 || !b.decisions[1].Granted() {
@@ -276,8 +276,8 @@
 		x.submit(fmt.Sprint(i), 4, 1000, func(a *Request) { a.Remaining, a.Goal = time.Hour, time.Hour })
 		x.completeBatch()
 		for _, a := range x.decisions {
-			x.scheduler.OnReport(Report{ID: a.ID, Server: a.Server.ID, Status: RunStarted})
-			x.scheduler.OnReport(Report{ID: a.ID, Server: a.Server.ID, Status: RunDone})
+			x.scheduler.OnReport(Report{Key: Key{ID: a.ID}, Server: a.Server.ID, Status: RunStarted})
+			x.scheduler.OnReport(Report{Key: Key{ID: a.ID}, Server: a.Server.ID, Status: RunDone})
 		}
 		x.decisions = x.decisions[:0]
 		x.collect()
@@ -293,7 +293,7 @@
 	server := &relay.Server{ID: "model-1", Service: "model", Address: "10.0.0.1:80", Region: "north"}
 	view := relay.NewView(&relay.Configuration{Services: map[string]*relay.Service{"model": {Name: "model"}}}, []*relay.Server{server}, nil)
 	h := Scheduler{Now: time.Now, View: func() *relay.View { return view }, Region: "north"}
-	h.Submit(Request{ID: "r1", Service: "model", Goal: time.Second, Remaining: 4 * time.Second})
+	h.Submit(Request{Key: Key{ID: "r1"}, Service: "model", Goal: time.Second, Remaining: 4 * time.Second})
 	fmt.Println(h.Take().Decisions[0].Server.ID)
 	// Output: model-1
 }
--- a/core/placement/region_test.go
+++ b/core/placement/region_test.go
@@ -117,7 +117,7 @@
 func (o *overload) submit(c *class) {
 	id := fmt.Sprint("q", len(o.ends))
 	a := Request{
-		ID: id, Service: "model", InputKey: id, Tokens: c.tokens, Priority: c.priority, Route: c.name, Organisation: fmt.Sprint("org", o.random.IntN(40)),
+		Key: Key{ID: id}, Service: "model", InputKey: id, Tokens: c.tokens, Priority: c.priority, Route: c.name, Organisation: fmt.Sprint("org", o.random.IntN(40)),
 		Goal: c.goal, Remaining: c.limit, Segments: []PromptSegment{{Hash: uint64(1 + o.random.IntN(2000)), Tokens: 300}},
 	}
 	for _, s := range c.stages {
@@ -210,7 +210,7 @@
 		return
 	}
 	report := func(s RunStatus) {
-		o.scheduler.OnReport(Report{ID: d.ID, Attempt: d.Attempt, Server: d.Server.ID, Status: s})
+		o.scheduler.OnReport(Report{Key: Key{ID: d.ID}, Attempt: d.Attempt, Server: d.Server.ID, Status: s})
 		o.collect()
 	}
 	o.After(firstEventDelay, func() {
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -41,7 +41,7 @@
 	CountFirst func(service string)
 	TakeRetry  func(service string) bool
 
-	jobs         map[string]*job
+	jobs         map[Key]*job
 	pools        map[string]*stagePool
 	modelServers map[string]*modelServer
 	batches      map[uint64]*batch
@@ -69,7 +69,7 @@
 		h.dispatch()
 		return
 	}
-	h.forget(a.ID)
+	h.forget(a.Key)
 	j := &job{request: a, arrived: now, goal: now.Add(a.Goal), deadline: now.Add(a.Remaining), rank: rank{priority: a.Priority}}
 	if a.lacksInputs() {
 		h.refuse(j, ReasonNoInputs, 0)
@@ -87,7 +87,7 @@
 	for i := range a.Stages {
 		j.stages = append(j.stages, &jobStage{index: i, request: &j.request.Stages[i], remaining: a.Stages[i].Tasks})
 	}
-	h.jobs[a.ID] = j
+	h.jobs[a.Key] = j
 	h.adoptProgress(j)
 	h.adoptInBatches(j)
 	if h.stageServersLeft(j) {
@@ -114,7 +114,7 @@
 func (h *Scheduler) init() {
 	if h.jobs == nil {
 		h.backlogs = map[string]*backlog{}
-		h.jobs = map[string]*job{}
+		h.jobs = map[Key]*job{}
 		h.pools = map[string]*stagePool{}
 		h.modelServers = map[string]*modelServer{}
 		h.batches = map[uint64]*batch{}
@@ -126,7 +126,7 @@
 // regrant grants a job that its model server did not run to another one, with the stored
 // results, and reports whether the job and its results still exist.
 func (h *Scheduler) regrant(a Request) bool {
-	j := h.jobs[a.ID]
+	j := h.jobs[a.Key]
 	if j == nil || j.granted == nil || !j.request.isRetriedBy(&a) {
 		return false
 	}
@@ -145,24 +145,24 @@
 
 // Withdraw drops a request whose caller no longer waits, unless a later attempt of it was
 // submitted.
-func (h *Scheduler) Withdraw(id string, attempt int) {
+func (h *Scheduler) Withdraw(k Key, attempt int) {
 	h.init()
-	if j := h.jobs[id]; j != nil && j.request.Attempt <= attempt {
+	if j := h.jobs[k]; j != nil && j.request.Attempt <= attempt {
 		if j.granted == nil {
 			h.fairness.count(j.request.fairnessKeys(), false)
 		}
-		h.forget(id)
+		h.forget(k)
 	}
 	h.dispatch()
 }
 
 // forget removes a job and releases what it holds.
-func (h *Scheduler) forget(id string) {
-	j := h.jobs[id]
+func (h *Scheduler) forget(k Key) {
+	j := h.jobs[k]
 	if j == nil {
 		return
 	}
-	delete(h.jobs, id)
+	delete(h.jobs, k)
 	for _, s := range j.stages {
 		h.release(s)
 	}
@@ -191,8 +191,8 @@
 	if reason == ReasonLate || reason == ReasonFailed {
 		h.fairness.count(j.request.fairnessKeys(), false)
 	}
-	h.work.Decisions = append(h.work.Decisions, Decision{ID: j.request.ID, Attempt: j.request.Attempt, Reason: reason, RetryAfter: after, Waited: h.Now().Sub(j.arrived)})
-	h.forget(j.request.ID)
+	h.work.Decisions = append(h.work.Decisions, Decision{Key: j.request.Key, Attempt: j.request.Attempt, Reason: reason, RetryAfter: after, Waited: h.Now().Sub(j.arrived)})
+	h.forget(j.request.Key)
 }
 
 // advance queues the stages whose inputs exist, unless it is too early for them, releases
@@ -282,7 +282,7 @@
 		h.fairness.count(j.request.fairnessKeys(), true)
 	}
 	h.work.Decisions = append(h.work.Decisions, Decision{
-		ID: j.request.ID, Attempt: j.request.Attempt, Server: *e.server, Inputs: j.leafHandles(), KVSource: h.kvSource(j, e.modelServer), Waited: h.Now().Sub(j.arrived),
+		Key: j.request.Key, Attempt: j.request.Attempt, Server: *e.server, Inputs: j.leafHandles(), KVSource: h.kvSource(j, e.modelServer), Waited: h.Now().Sub(j.arrived),
 		Running: e.running, Candidates: e.candidates, Load: e.load(), Mean: e.mean,
 	})
 	e.addGrant(h.Now(), j.request.Tokens)
@@ -294,7 +294,7 @@
 	if e := h.modelServers[r.Server]; e != nil {
 		e.observe(h.Now(), r.Status)
 	}
-	j := h.jobs[r.ID]
+	j := h.jobs[r.Key]
 	if j == nil || j.request.Attempt != r.Attempt || r.Server != "" && !j.isGranted(r.Server) {
 		return
 	}
@@ -307,7 +307,7 @@
 	case RunRejected, RunNotSent:
 		// The node submits the request again, or withdraws it.
 	default:
-		h.forget(r.ID)
+		h.forget(r.Key)
 	}
 	h.dispatch()
 }
@@ -319,11 +319,11 @@
 	h.init()
 	now := h.Now()
 	h.recount()
-	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
-		j := h.jobs[id]
+	for _, k := range slices.SortedFunc(maps.Keys(h.jobs), Key.compare) {
+		j := h.jobs[k]
 		switch {
 		case j.granted != nil && now.After(j.deadline.Add(grantRetention)):
-			h.forget(id)
+			h.forget(k)
 		case j.granted == nil && (now.Add(h.minTime(j)).After(j.deadline) || h.missesDeadline(j, now)):
 			h.refuse(j, ReasonLate, h.retryAfter(j))
 		case j.granted == nil && !j.handingOver:
--- a/io/edge/repeated_test.go
+++ b/io/edge/repeated_test.go
@@ -122,7 +122,7 @@
 		decided := make(chan int, 2)
 		for n := range 2 {
 			h.submit(placement.Request{
-				ID: "x", Attempt: n, Service: "model", InputKey: "k", Goal: 2 * time.Second, Remaining: 4 * time.Second,
+				Key: placement.Key{ID: "x"}, Attempt: n, Service: "model", InputKey: "k", Goal: 2 * time.Second, Remaining: 4 * time.Second,
 				Stages: []placement.StageRequest{{Service: "encode", ResultBytes: 1, Tasks: 1}},
 			}, waiter{deliver: func(placement.Decision) { decided <- n }})
 		}
@@ -137,3 +137,38 @@
 		}
 	})
 }
+
+// Two requests with the same id are in progress at one node or at two. Each gets its own response, also if the other
+// one's caller leaves while it waits for its stages.
+func TestRepeatedIDInProgress(t *testing.T) {
+	for _, nodes := range [][2]string{{"a1", "a1"}, {"a1", "a2"}, {"a2", "a2"}} {
+		for _, patience := range []time.Duration{250 * time.Millisecond, time.Second, 4 * time.Second} {
+			runFleet(t, func(w *testFleet) {
+				for _, s := range w.all("model") {
+					s.ServiceTime = 300 * time.Millisecond // the inputs of both are in use
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), patience)
+				defer cancel()
+				var g sync.WaitGroup
+				g.Go(func() {
+					r := w.send(ctx, nodes[0], http.MethodPost, "/once/x", "x", modelHeaders("x")...)
+					if ctx.Err() == nil && (r.status != 200 || r.body != fullStream(6)) {
+						t.Errorf("%v: the first one got %d %v %q", nodes, r.status, r.err, r.body)
+					}
+				})
+				time.Sleep(100 * time.Millisecond)
+				r := w.stream(nodes[1], "/once/x", "x", "X-Bergamotspring-Chunk-Key", "another")
+				if r.status != 200 || r.body != fullStream(6) {
+					t.Errorf("%v, the first caller leaves after %v: the second one got %d %v %q", nodes, patience, r.status, r.err, r.body)
+				}
+				g.Wait()
+				if l := w.log.matching(`"not_run"`); len(l) > 0 {
+					t.Errorf("%v, the first caller leaves after %v: got refusals %v, want none", nodes, patience, l)
+				}
+				if l := w.results.ForeignInputs; len(l) > 0 {
+					t.Errorf("inputs of other requests: %v", l)
+				}
+			})
+		}
+	}
+}
--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -58,7 +58,7 @@
 
 // attemptKey identifies one attempt to place a request.
 type attemptKey struct {
-	id      string
+	placement.Key
 	attempt int
 }
 
@@ -69,12 +69,12 @@
 	w := h.core.Take()
 	var deliver []func()
 	for _, r := range w.Progress {
-		if x := h.waiting[attemptKey{r.ID, r.Attempt}]; x.progress != nil {
+		if x := h.waiting[attemptKey{r.Key, r.Attempt}]; x.progress != nil {
 			deliver = append(deliver, func() { x.progress(r.Progress) })
 		}
 	}
 	for _, a := range w.Decisions {
-		k := attemptKey{a.ID, a.Attempt}
+		k := attemptKey{a.Key, a.Attempt}
 		if x, ok := h.waiting[k]; ok {
 			delete(h.waiting, k)
 			deliver = append(deliver, func() { x.deliver(a) })
@@ -125,9 +125,9 @@
 			h.waiting = map[attemptKey]waiter{}
 		}
 		for n := range a.Attempt {
-			delete(h.waiting, attemptKey{a.ID, n})
+			delete(h.waiting, attemptKey{a.Key, n})
 		}
-		h.waiting[attemptKey{a.ID, a.Attempt}] = x
+		h.waiting[attemptKey{a.Key, a.Attempt}] = x
 		p.Submit(a)
 	})
 }
@@ -139,7 +139,7 @@
 	handedOver := h.handedOver
 	h.mu.Unlock()
 	if handedOver {
-		deliver(placement.Decision{ID: a.ID, Attempt: a.Attempt, Reason: placement.ReasonMoved})
+		deliver(placement.Decision{Key: a.Key, Attempt: a.Attempt, Reason: placement.ReasonMoved})
 		return
 	}
 	h.submit(a, waiter{deliver: deliver, progress: progress})
@@ -158,8 +158,8 @@
 func (h *scheduler) report(r placement.Report) {
 	h.do(func(p *placement.Scheduler) {
 		if r.Server == "" {
-			delete(h.waiting, attemptKey{r.ID, r.Attempt})
-			p.Withdraw(r.ID, r.Attempt)
+			delete(h.waiting, attemptKey{r.Key, r.Attempt})
+			p.Withdraw(r.Key, r.Attempt)
 			return
 		}
 		p.OnReport(r)
--- a/io/edge/schedulerclient.go
+++ b/io/edge/schedulerclient.go
@@ -38,7 +38,7 @@
 	log       *zap.Logger
 
 	mu            sync.Mutex
-	coordinatorOf map[string]string // peer address by the id of a request in progress
+	coordinatorOf map[placement.Key]string // peer address by request in progress
 }
 
 // place requests placement in the region that regionFor returns. If the latency goal would be
@@ -146,7 +146,7 @@
 	}
 	c := make(chan result, 1)
 	var progress atomic.Pointer[[]placement.StageProgress]
-	p.remember(a.ID, coordinator)
+	p.remember(a.Key, coordinator)
 	if coordinator == p.self {
 		p.scheduler.submit(a, waiter{deliver: func(g placement.Decision) { c <- result{decision: g} }})
 	} else {
@@ -164,14 +164,14 @@
 	select {
 	case r := <-c:
 		if r.err == nil && !r.decision.Granted() {
-			p.forget(a.ID)
+			p.forget(a.Key)
 		}
 		if l := progress.Load(); r.err != nil && l != nil {
 			r.decision.Progress = *l
 		}
 		return r.decision, r.err
 	case <-ctx.Done():
-		p.report(placement.Report{ID: a.ID, Attempt: a.Attempt, Status: placement.RunAbandoned})
+		p.report(placement.Report{Key: a.Key, Attempt: a.Attempt, Status: placement.RunAbandoned})
 		return placement.Decision{}, context.Cause(ctx)
 	}
 }
@@ -180,12 +180,12 @@
 // that the request is withdrawn.
 func (p *schedulerClient) report(r placement.Report) {
 	p.mu.Lock()
-	coordinator := p.coordinatorOf[r.ID]
+	coordinator := p.coordinatorOf[r.Key]
 	p.mu.Unlock()
 	switch r.Status {
 	case placement.RunStarted, placement.RunRejected, placement.RunNotSent:
 	default:
-		p.forget(r.ID)
+		p.forget(r.Key)
 	}
 	switch coordinator {
 	case "":
@@ -199,17 +199,17 @@
 	}
 }
 
-func (p *schedulerClient) remember(id, coordinator string) {
+func (p *schedulerClient) remember(k placement.Key, coordinator string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.coordinatorOf == nil {
-		p.coordinatorOf = map[string]string{}
+		p.coordinatorOf = map[placement.Key]string{}
 	}
-	p.coordinatorOf[id] = coordinator
+	p.coordinatorOf[k] = coordinator
 }
 
-func (p *schedulerClient) forget(id string) {
+func (p *schedulerClient) forget(k placement.Key) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.coordinatorOf, id)
+	delete(p.coordinatorOf, k)
 }
--- a/io/peer/placement.go
+++ b/io/peer/placement.go
@@ -14,7 +14,7 @@
 
 // PlacementProtocol is the version of the messages of PlacementHandlers. Nodes state it when they
 // register, and exchange these messages only with nodes of the same version.
-const PlacementProtocol = 4
+const PlacementProtocol = 5
 
 // PlacementHandlers handles the messages of other nodes on the users' platform. All fields
 // must be set.
@@ -48,7 +48,7 @@
 		h.Request(placementRequestOf(b), progress, func(a placement.Decision) { reply(r, TypePlaceAnswer, wirePlacementDecision(a)) })
 	})
 	handle(m, TypePlaceNote, true, func(_ *Request, b wire.PlaceNote) {
-		h.Report(placement.Report{ID: b.Id, Attempt: b.Try, Server: b.Server, Status: placement.RunStatus(b.End)})
+		h.Report(placement.Report{Key: keyOf(b.Id, b.Nonce), Attempt: b.Try, Server: b.Server, Status: placement.RunStatus(b.End)})
 	})
 	handle(m, TypeCrash, true, func(_ *Request, b wire.Crash) { h.Crash(b.Server, each(b.Requests, suspectOf)) })
 	handle(m, TypeCrashCulprits, true, func(r *Request, b wire.CrashCulprits) {
@@ -85,7 +85,7 @@
 // SendReport sends a report, or without a server a withdrawal, to the region coordinator at
 // an address; it may be lost without an error.
 func (m *Mesh) SendReport(to string, n placement.Report) error {
-	return m.Send(to, TypePlaceNote, &wire.PlaceNote{Id: n.ID, Try: n.Attempt, Server: n.Server, End: int(n.Status)})
+	return m.Send(to, TypePlaceNote, &wire.PlaceNote{Id: n.ID, Nonce: int(n.Nonce), Try: n.Attempt, Server: n.Server, End: int(n.Status)})
 }
 
 // SendCrash notifies the node at an address of the requests that were on a server when it
@@ -104,7 +104,7 @@
 
 func wirePlacementRequest(a placement.Request) *wire.PlaceAsk {
 	return &wire.PlaceAsk{
-		Id: a.ID, Try: a.Attempt, Service: a.Service, Key: a.InputKey, Tokens: a.Tokens, Rank: a.Priority,
+		Id: a.ID, Nonce: int(a.Nonce), Try: a.Attempt, Service: a.Service, Key: a.InputKey, Tokens: a.Tokens, Rank: a.Priority,
 		Goal: micros(a.Goal), Left: micros(a.Remaining), Regions: a.Regions, Avoid: a.Avoid, Again: a.Retry, Elsewhere: a.HasFallback, Gone: a.InputLost,
 		Route: a.Route, Organisation: a.Organisation, Made: each(a.Progress, wireStageProgress), InBatches: each(a.InBatches, wireServerBytes),
 		Parts: each(a.Segments, func(p placement.PromptSegment) wire.PlacePart {
@@ -118,7 +118,7 @@
 
 func placementRequestOf(w wire.PlaceAsk) placement.Request {
 	return placement.Request{
-		ID: w.Id, Attempt: w.Try, Service: w.Service, InputKey: w.Key, Tokens: w.Tokens, Priority: w.Rank,
+		Key: keyOf(w.Id, w.Nonce), Attempt: w.Try, Service: w.Service, InputKey: w.Key, Tokens: w.Tokens, Priority: w.Rank,
 		Goal: duration(w.Goal), Remaining: duration(w.Left), Regions: w.Regions, Avoid: w.Avoid, Retry: w.Again, HasFallback: w.Elsewhere, InputLost: w.Gone,
 		Route: w.Route, Organisation: w.Organisation, Progress: each(w.Made, stageProgressOf),
 		InBatches: each(w.InBatches, serverBytesOf),
@@ -140,6 +140,8 @@
 	}
 }
 
+func keyOf(id string, nonce int) placement.Key { return placement.Key{ID: id, Nonce: uint64(nonce)} }
+
 func wireServerBytes(b placement.ServerBytes) wire.PlaceServerBytes {
 	return wire.PlaceServerBytes{Server: b.Server, Bytes: int(b.Bytes)}
 }
@@ -162,7 +164,7 @@
 
 func placementDecisionOf(w wire.PlaceAnswer) placement.Decision {
 	return placement.Decision{
-		ID:     w.Id,
+		Key:    placement.Key{ID: w.Id},
 		Server: relay.Server{ID: w.Server, Address: w.Address, Domain: w.Domain, Region: w.Region, Service: w.Service},
 		Inputs: w.Inputs, KVSource: w.Fetch, Reason: w.Reason, RetryAfter: duration(w.RetryAfter), Progress: each(w.Made, stageProgressOf),
 		InBatches: each(w.InBatches, serverBytesOf),
--- a/io/peer/placement_test.go
+++ b/io/peer/placement_test.go
@@ -14,7 +14,7 @@
 // Guards against a field of a placement request or a decision that is lost or changed in a frame.
 func TestPlacementCodec(t *testing.T) {
 	a := placement.Request{
-		ID: "r", Attempt: 2, Service: "model", InputKey: "k", Segments: []placement.PromptSegment{{Hash: 1<<63 + 5, Tokens: 9}}, Tokens: 7, Priority: 1,
+		Key: placement.Key{ID: "r", Nonce: 1<<63 + 7}, Attempt: 2, Service: "model", InputKey: "k", Segments: []placement.PromptSegment{{Hash: 1<<63 + 5, Tokens: 9}}, Tokens: 7, Priority: 1,
 		Goal: -time.Second, Remaining: time.Second, Regions: []string{"x"}, Avoid: []string{"s"}, Retry: true, InputLost: true,
 		Stages:   []placement.StageRequest{{Service: "e", After: []int{0}, ResultBytes: 5, Tasks: 3}},
 		Progress: []placement.StageProgress{{Stage: 1, Released: true, Results: []placement.StoredResult{{Index: 2, Server: "s", StartedAt: 3, Handle: "h"}}}},
@@ -25,7 +25,7 @@
 		t.Errorf("request: got %+v, want %+v", got, a)
 	}
 	g := placement.Decision{
-		ID: "r", Attempt: 2, Server: relay.Server{ID: "s", Address: "a:1", Domain: "d", Region: "x", Service: "model"},
+		Key: placement.Key{ID: "r"}, Attempt: 2, Server: relay.Server{ID: "s", Address: "a:1", Domain: "d", Region: "x", Service: "model"},
 		Inputs: []string{"h"}, KVSource: "b:1", Reason: "why", RetryAfter: time.Second, Progress: a.Progress,
 	}
 	var wg wire.PlaceAnswer
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -32,6 +33,7 @@
 
 // generate serves a request for a model service.
 func (q *request) generate(ctx context.Context) {
+	q.key = placement.Key{ID: q.meta.ID, Nonce: rand.Uint64()}
 	a := q.placementRequest()
 	out := newStream(q)
 	var tried []string
@@ -66,7 +68,7 @@
 		}
 		a.Retry, a.InputLost = e != runBroken, e == runInputLost
 	}
-	q.server.Report(placement.Report{ID: q.meta.ID, Attempt: q.attempt, Status: placement.RunAbandoned})
+	q.server.Report(placement.Report{Key: q.key, Attempt: q.attempt, Status: placement.RunAbandoned})
 	q.fail("model servers failed", q.retryAfter())
 }
 
@@ -92,7 +94,7 @@
 func (q *request) schedule(ctx context.Context, a placement.Request, tried []string) (placement.Decision, error) {
 	avoid, left := q.avoid(tried)
 	if !left {
-		q.server.Report(placement.Report{ID: a.ID, Attempt: a.Attempt, Status: placement.RunAbandoned})
+		q.server.Report(placement.Report{Key: a.Key, Attempt: a.Attempt, Status: placement.RunAbandoned})
 		return placement.Decision{Reason: relay.ErrHeldOff.Error(), RetryAfter: q.retryAfter()}, nil
 	}
 	a.Avoid = avoid
@@ -107,7 +109,7 @@
 
 // report reports the progress of a placed request to the region coordinator.
 func (q *request) report(g *placement.Decision, e placement.RunStatus) {
-	q.server.Report(placement.Report{ID: q.meta.ID, Attempt: q.attempt, Server: g.Server.ID, Status: e})
+	q.server.Report(placement.Report{Key: q.key, Attempt: q.attempt, Server: g.Server.ID, Status: e})
 }
 
 func refusalReason(g placement.Decision, err error) string {
@@ -120,7 +122,7 @@
 // placementRequest returns the request for the region coordinator.
 func (q *request) placementRequest() placement.Request {
 	a := placement.Request{
-		ID: q.meta.ID, Service: q.service, InputKey: q.meta.InputKey, Segments: q.meta.Segments, Tokens: q.meta.Tokens,
+		Key: q.key, Service: q.service, InputKey: q.meta.InputKey, Segments: q.meta.Segments, Tokens: q.meta.Tokens,
 		Priority: relay.Priority(q.route, q.org), Route: q.route.Name, Organisation: q.organisation(),
 	}
 	a.Regions = allowedRegions(q.route, q.org)
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -123,13 +123,14 @@
 	out      http.ResponseWriter
 	ending   ending
 
-	trialAt    time.Time // when a trial was granted; zero: never
-	attempt    int       // placement requests before the current one
-	sends      int       // sends that a server may have read
-	lastServer string    // server of the last send
-	events     int       // events sent to the caller
-	mayHaveRun bool      // a server may have run the request
-	headerSent bool      // the response header was written
+	trialAt    time.Time     // when a trial was granted; zero: never
+	key        placement.Key // of its placement requests
+	attempt    int           // placement requests before the current one
+	sends      int           // sends that a server may have read
+	lastServer string        // server of the last send
+	events     int           // events sent to the caller
+	mayHaveRun bool          // a server may have run the request
+	headerSent bool          // the response header was written
 }
 
 // ServeHTTP serves one request.
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -568,6 +568,9 @@
 	// Made corresponds to the JSON schema field "made".
 	Made []PlaceMade `msgpack:"made"`
 
+	// Tells apart requests in progress that callers gave the same id.
+	Nonce int `msgpack:"nonce"`
+
 	// Its service is compared with that of others, as for the route, so that none is
 	// starved.
 	Organisation string `msgpack:"organisation"`
@@ -633,6 +636,9 @@
 	// Id corresponds to the JSON schema field "id".
 	Id string `msgpack:"id"`
 
+	// Tells apart requests in progress that callers gave the same id.
+	Nonce int `msgpack:"nonce"`
+
 	// Empty: the placement request is withdrawn.
 	Server string `msgpack:"server"`
 
