io/exchange: a response without length is not whole if its request could not be sent

Callers saw: a server that has not read all of a long request answers without a length and resets the connection on the way; the caller gets the part that came as a whole response (MIXED: an answer that is reset on the way isn't complete).

Cause: requests over 64 KiB are written while the response is read. Linux reports the error of a reset to one call only. If that is the write, the read that follows returns the end of the connection, which is the end of such a body.

Change: at the end of a body with neither a length nor chunks, the write has to have succeeded; it is waited for, as it ends with the connection, and with the deadline at the latest.

--- a/io/exchange/body.go
+++ b/io/exchange/body.go
@@ -14,6 +14,7 @@
 	request *writing
 	stop    func() bool
 	reuse   bool
+	framed  bool // see Response
 	done    bool
 	left    int64 // bytes still to be read; -1 if unknown
 	scan    bodyScan
@@ -32,6 +33,9 @@
 	if b.left > 0 {
 		b.left -= int64(n)
 	}
+	if err == io.EOF && !b.framed && b.request.failed() {
+		err = errReset
+	}
 	if b.scan.found(p[:n]) || err == io.EOF && b.scan.joins(b.conn.buffered()) {
 		n, err = 0, errJoinedBody
 	}
--- a/io/exchange/early_test.go
+++ b/io/exchange/early_test.go
@@ -85,3 +85,65 @@
 		}
 	}
 }
+
+// reportsOnce is a connection that reports a reset once, as Linux does: a read after a write that failed ends like one
+// after the end of the connection.
+type reportsOnce struct {
+	net.Conn
+	reported chan struct{} // closed when a write has failed
+}
+
+func (c reportsOnce) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		close(c.reported)
+	}
+	return n, err
+}
+
+func (c reportsOnce) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		<-c.reported
+		err = io.EOF
+	}
+	return n, err
+}
+
+// A server that has not read a long body resets the connection inside a response without a length, and the sending of
+// the request takes the error: the response is not complete.
+func TestResetBeforeEndOfBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &standin.Network{}
+		l, err := n.Listen(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+			time.Sleep(time.Second)
+			_ = c.(*standin.Conn).SetLinger(0)
+			_ = c.Close()
+		}()
+		p := &Pool{Dial: func(ctx context.Context, a string) (net.Conn, error) {
+			c, err := n.Dial(ctx, "10.0.0.9", a)
+			return reportsOnce{smallWrites{c}, make(chan struct{})}, err
+		}}
+		r, err := p.Do(t.Context(), &Request{
+			Address: address, Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, 1<<20),
+			Header: http.Header{"Id": {"1"}}, Echo: "Id",
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b, err := io.ReadAll(r.Body); err == nil {
+			t.Errorf("got %q as a whole response, want a broken exchange", b)
+		}
+		n.Close()
+	})
+}
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -97,6 +97,7 @@
 	errInterim         = errors.New("too many 1xx responses")
 	errTooLarge        = errors.New("response too large")
 	errStatus          = errors.New("status below 100")
+	errReset           = errors.New("connection ended before the request was sent")
 	errJoinedBody      = errors.New("body goes over into another response")
 	errJoinedHeads     = errors.New("response goes over into another one")
 )
@@ -144,7 +145,7 @@
 	// A copy of a response to HEAD would take the length of its missing body from the response that follows.
 	reuse := r.Echo != "" && !a.Close && framed(a) && r.Method != http.MethodHead
 	return a, &body{
-		ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse, left: a.ContentLength,
+		ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse, framed: framed(a), left: a.ContentLength,
 		scan: bodyScan{echo: r.Echo, seen: c.seen},
 	}, nil
 }
--- a/io/exchange/writing.go
+++ b/io/exchange/writing.go
@@ -55,6 +55,13 @@
 	return ended && err == nil
 }
 
+// failed waits until the writing has ended, and reports whether it failed. If the server reset the connection, the write
+// may have got the error of it; a read then ends as if the server had closed the connection.
+func (w *writing) failed() bool {
+	<-w.done
+	return w.err != nil
+}
+
 // failure returns the error of an exchange that ended with err, on a connection that is closed.
 func (w *writing) failure(err error) error {
 	<-w.done
