io/proxy: a success without its server's stamp is none

Callers saw: a 2xx of a server that bears the request's id, but not the server's stamp, as it was; and one whose Connection header names the stamp without it.

Change: a 2xx without the stamp is a broken exchange: a request that may run again goes to another server, and the outcome of others is unknown (502).

--- a/io/edge/nobody_test.go
+++ b/io/edge/nobody_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	platformstandin "bergamotspring/platform/standin"
@@ -42,6 +43,35 @@
 	}
 }
 
+// A success that does not bear its server's stamp is none: the request goes to another server if it may run again, and
+// else its outcome is unknown. A server that declares the stamp a header of its connection has sent it all the same.
+func TestSuccessWithoutStamp(t *testing.T) {
+	const stamp = "X-Bergamotspring-Server-Stamp"
+	for _, status := range []string{"200 OK", "201 Created", "204 No Content"} {
+		for path, want := range map[string]int{"/read/x": 200, "/draft/x": 200, "/file/x": 502, "/once/x": 502} {
+			runFleet(t, func(w *testFleet) {
+				answer := func(x platformstandin.Run) string {
+					return strings.Replace(head(x, status, "Content-Length: 0"), stamp+": raw\r\n", "", 1)
+				}
+				w.raw("plain", answer)
+				w.raw("model", answer)
+				r := w.stream("a1", path, "x")
+				if r.status != want || r.err != nil || r.header.Get(stamp) == "" && want == 200 {
+					t.Errorf("%s to %s: got %d %v with stamp %q, want %d", status, path, r.status, r.err, r.header.Get(stamp), want)
+				}
+			})
+		}
+	}
+	runFleet(t, func(w *testFleet) {
+		w.raw("plain", func(x platformstandin.Run) string {
+			return head(x, "200 OK", "Content-Length: 0", "Connection: "+stamp)
+		})
+		if r := w.request("a1", http.MethodGet, "/read/x", "x"); r.status != 200 || r.err != nil || r.header.Get(stamp) != "raw" {
+			t.Errorf("got %d %v with stamp %q", r.status, r.err, r.header.Get(stamp))
+		}
+	})
+}
+
 // A server answers with a status that means "not run" to callers without stating so: callers of requests that must
 // not run twice are told that the outcome is unknown; others get the response.
 func TestUnstatedRefusal(t *testing.T) {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -35,6 +35,8 @@
 	minRetryTime = 20 * time.Millisecond
 )
 
+var errNoStamp = errors.New("success without the server's stamp")
+
 // attempt is the result of sending a request to one server.
 type attempt struct {
 	response *exchange.Response
@@ -159,6 +161,10 @@
 	}
 	q.sends++
 	q.lastServer = t.ID
+	if r.Status/100 == 2 && r.Header.Get(s.Protocol.Stamp) == "" {
+		_ = r.Body.Close() // nothing in it is used
+		return &attempt{err: errNoStamp}
+	}
 	return &attempt{response: r, notRun: s.Protocol.NotRun(r.Status, r.Header)}
 }
 
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -53,6 +53,7 @@
 // be set.
 type Protocol struct {
 	Echo           string // request id header, which servers echo
+	Stamp          string // header that each success of a server has
 	Read           func(http.Header) Meta
 	Write          func(from http.Header, s Upstream) http.Header
 	NotRun         func(status int, h http.Header) bool
