--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -53,6 +53,7 @@
 // be set.
 type Protocol struct {
 	Echo           string // request id header, which servers echo
+	Stamp          string // header that each success of a server has
 	Read           func(http.Header) Meta
 	Write          func(from http.Header, s Upstream) http.Header
 	NotRun         func(status int, h http.Header) bool
@@ -123,13 +124,14 @@
 	out      http.ResponseWriter
 	ending   ending
 
-	trialAt    time.Time // when a trial was granted; zero: never
-	attempt    int       // placement requests before the current one
-	sends      int       // sends that a server may have read
-	lastServer string    // server of the last send
-	events     int       // events sent to the caller
-	mayHaveRun bool      // a server may have run the request
-	headerSent bool      // the response header was written
+	trialAt    time.Time     // when a trial was granted; zero: never
+	key        placement.Key // of its placement requests
+	attempt    int           // placement requests before the current one
+	sends      int           // sends that a server may have read
+	lastServer string        // server of the last send
+	events     int           // events sent to the caller
+	mayHaveRun bool          // a server may have run the request
+	headerSent bool          // the response header was written
 }
 
 // ServeHTTP serves one request.
