io/proxy: don't send a broken request again that shares a segment with a culprit

Cause: segments that were together in all crashes are one culprit, so later requests with the deadly one and a new companion run until the deadly one has been in two more groups of crashes. Crashes within 300 ms are one group, and a request's second attempt follows its first within that time: it crashed a second server and taught nothing.

Change: a request that a server broke off and that has one of the segments of a culprit is not sent again. Sound requests lose little: a response to one of them takes its segments out of the culprit.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -251,6 +251,14 @@
 	return k, ok
 }
 
+// MayBePoison reports whether a request has one of the segments of a culprit, any of which may be the cause of
+// its crashes.
+func (c *Counter) MayBePoison(r Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.culprits, func(k Culprit) bool { return k.shares(r) })
+}
+
 // keepCrashes records when a request was refused for a culprit, on this node or another. The lock is held.
 func (c *Counter) keepCrashes(k Culprit, usedAt time.Time) {
 	for _, x := range c.crashes {
--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -42,7 +43,7 @@
 // crashingSegmentTest is a case of TestCrashingPromptSegment.
 type crashingSegmentTest struct {
 	name          string
-	deadly, sound []string // segments of the requests, in turn
+	deadly, sound []string // segments of the requests, in turn; empty: none is sent
 	lost          float64  // share of the sound ones that may miss their first attempt, all of which get it before
 	prepare       func(*testFleet)
 }
@@ -52,6 +53,8 @@
 // segments are served at their first attempt.
 func TestCrashingPromptSegment(t *testing.T) {
 	bad, good := []string{"aa:800,dead:100"}, []string{"aa:800"}
+	rare := []string{bad[0], "", "", "", ""}
+	changing := slices.Concat(rare, rare, rare, bad, slices.Repeat([]string{"0e:300,dead:100"}, 14))
 	for _, c := range []crashingSegmentTest{
 		{name: "one sound segment", deadly: bad, sound: good},
 		{name: "two sound segments", deadly: []string{"aa:800,0e:300,dead:100"}, sound: []string{"aa:800,0e:300"}},
@@ -61,6 +64,7 @@
 		{name: "only the key is shared", deadly: bad, sound: []string{"cc:800"}},
 		{name: "two deadly segments", deadly: []string{"aa:800,dead:100", "0e:300,1dead:100"}, sound: []string{"aa:800", "0e:300", "aa:800,0e:300"}},
 		{name: "two deadly segments beside one sound", deadly: []string{"aa:800,dead:100", "aa:800,1dead:100"}, sound: good},
+		{name: "other segments later, none of them sound", deadly: changing, sound: []string{"cc:800"}, lost: 0.5, prepare: (*testFleet).retryAtOnce},
 		{name: "other crashes", deadly: bad, sound: good, lost: 0.5, prepare: (*testFleet).crashInTurn},
 		{name: "responses that are no event streams", deadly: bad, sound: good, prepare: (*testFleet).serveWholeResponses},
 		{name: "errors", deadly: bad, sound: good, prepare: (*testFleet).failEveryThird},
@@ -77,6 +81,12 @@
 	}
 }
 
+// retryAtOnce makes requests need no stages, so that a second attempt follows the first at once.
+func (w *testFleet) retryAtOnce() {
+	w.configureRoute(2, "draft", map[string]any{"stages": []any{}})
+	time.Sleep(2 * time.Second)
+}
+
 // crashInTurn crashes a model server every 3.7 s; it is back after 2 s.
 func (w *testFleet) crashInTurn() {
 	w.serving.Go(func() {
@@ -155,9 +165,9 @@
 			known = 2 * contactTime // fewer crashes than five: they were soon traced
 		}
 		bad, good := fmt.Sprint("d", i), fmt.Sprint("e", i)
-		w.serving.Go(func() {
-			w.stream(node, "/draft/x", bad, sharedKey(prefix(bad, c.deadly[i%len(c.deadly)]))...)
-		})
+		if l := c.deadly[i%len(c.deadly)]; l != "" {
+			w.serving.Go(func() { w.stream(node, "/draft/x", bad, sharedKey(prefix(bad, l))...) })
+		}
 		atFirst := sendSound(good, i)
 		time.Sleep(time.Second)
 		if known > contactTime {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -89,7 +89,7 @@
 	if good || len(tried) >= maxServers || q.remaining() < minRetryTime {
 		return false
 	}
-	if !a.notRun && (!q.route.Repeatable || runs >= q.route.Attempts) {
+	if !a.notRun && (!q.route.Repeatable || !q.mayRunAgain(runs)) {
 		return false
 	}
 	return q.pick(tried) != nil
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -55,7 +55,7 @@
 			runs++
 			q.mayHaveRun = true
 		}
-		if e == runBroken && (!q.route.Resumable || runs >= q.route.Attempts || q.remaining() <= minResumeTime) {
+		if e == runBroken && (!q.route.Resumable || !q.mayRunAgain(runs) || q.remaining() <= minResumeTime) {
 			break
 		}
 		if e != runNotSent && !q.retry(&g.Server) {
--- a/io/proxy/suspect.go
+++ b/io/proxy/suspect.go
@@ -73,6 +73,12 @@
 	return true
 }
 
+// mayRunAgain reports whether the request may be sent again after servers broke it off runs times. One that may
+// crash servers for the same reason as others is not.
+func (q *request) mayRunAgain(runs int) bool {
+	return runs < q.route.Attempts && !q.server.Suspects.MayBePoison(q.suspect())
+}
+
 // reportBroken reports that a server may have crashed while it ran the request.
 func (q *request) reportBroken(a *attempt, t *relay.Server) {
 	if a.notRun {
