io/proxy: a rejected prompt doesn't clear its segments

Callers saw: server after server crash by requests with a deadly segment, and sound ones fail with them, when servers reject some of the deadly requests with a 4xx, as too long for one, before they read them.

Change: of requests with prompt segments, a success alone is proof. Plain requests have no segments, and for them a 404 is as good a response as any, so it still clears them.

TestCrashingPromptSegment/requests_that_are_too_long (one in three deadly requests gets a 413), two runs each.

--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -67,7 +67,8 @@
 		{name: "other segments later, none of them sound", deadly: changing, sound: []string{"cc:800"}, lost: 0.5, prepare: (*testFleet).retryAtOnce},
 		{name: "other crashes", deadly: bad, sound: good, lost: 0.5, prepare: (*testFleet).crashInTurn},
 		{name: "responses that are no event streams", deadly: bad, sound: good, prepare: (*testFleet).serveWholeResponses},
-		{name: "errors", deadly: bad, sound: good, prepare: (*testFleet).failEveryThird},
+		{name: "errors", deadly: bad, sound: good, prepare: func(w *testFleet) { w.failEveryThird("500 Internal Server Error") }},
+		{name: "requests that are too long", deadly: bad, sound: good, prepare: func(w *testFleet) { w.failEveryThird("413 Content Too Large") }},
 		{name: "streams without length and chunks", deadly: bad, sound: good, prepare: (*testFleet).crashAfterFirstEvent},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -106,13 +107,13 @@
 }
 
 // failEveryThird makes model servers answer every third of the deadly requests with an error before they run it.
-func (w *testFleet) failEveryThird() {
+func (w *testFleet) failEveryThird(status string) {
 	var n atomic.Int32
 	w.answerDeadly(func(_ *platformstandin.Server, x platformstandin.Run) string {
 		if n.Add(1)%3 != 0 {
 			return ""
 		}
-		return head(x, "500 Internal Server Error", "Content-Length: 0")
+		return head(x, status, "Content-Length: 0")
 	})
 }
 
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -246,7 +246,7 @@
 		q.fail(err.Error(), 0)
 	}
 	good := a.response.Status < http.StatusInternalServerError
-	if good { // an error may be sent before the request runs
+	if q.provesRun(a.response.Status) {
 		q.reportComplete(a, t)
 	}
 	q.end("answered", good, 0, zap.String("server", t.ID), zap.Int("status", a.response.Status))
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -83,8 +83,8 @@
 	// called when a server that may have read a request did not respond, also after a
 	// timeout, or broke off an event stream or the buffered part of another response, or ended
 	// one whose end does not prove that it is complete, and without segments if several events
-	// had come; OnResponse when several events came, OnSuccess when a request completed without
-	// a server error.
+	// had come; OnResponse when several events came, OnSuccess when a request completed, and
+	// its status shows that it ran.
 	Suspects              *suspect.Counter
 	OnBroken              func(r suspect.Request, t *relay.Server)
 	OnResponse, OnSuccess func(r suspect.Request)
--- a/io/proxy/suspect.go
+++ b/io/proxy/suspect.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,6 +102,15 @@
 	q.server.OnSuccess(q.suspect())
 }
 
+// provesRun reports whether a response of a status shows that the request has run. Servers may send an error before
+// it runs, and reject a prompt before they have read it.
+func (q *request) provesRun(status int) bool {
+	if len(q.meta.SegmentIDs) > 0 {
+		return status < http.StatusMultipleChoices
+	}
+	return status < http.StatusInternalServerError
+}
+
 // onEvents reports the progress of an event stream after n reads with events.
 func (a *attempt) onEvents(q *request, g *placement.Decision, n int) {
 	a.reads = n
