core/suspect: record the crashes of five full servers

Callers would see: requests that crash server after server for longer, as long as the servers are full and others crash too.

Cause: 4096 requests and segments are recorded in all, and a crash of a server with 400 requests (96 that run and 288 that wait, as the users' largest) of three shared segments each counts for 1600 until responses clear some. In the test, the third crash of the deadly segment, with two crashes of others before it, evicted the first one.

Change: 8192, five such crashes.

TestCounterFindsSegmentOnFullServers, before:

after three crashes: poison false, want true

A search of full records takes 8.3 ms on the loaded machine (6.6 ms with 4096), of 400 deadly pairs 27 ms (38 ms), so within noise. Six servers of one failure domain with 400 requests each can still evict earlier crashes without a culprit.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -25,7 +25,7 @@
 	expireInterval = time.Second
 	// maxCounted bounds the requests and segments in all recorded crashes together; the
 	// oldest crashes are evicted first, those of culprits last.
-	maxCounted = 4096
+	maxCounted = 8192
 )
 
 // Counter finds what crashes servers: a request, by its fingerprint, or a prompt segment that
--- a/core/suspect/counter_test.go
+++ b/core/suspect/counter_test.go
@@ -215,6 +215,34 @@
 	}
 }
 
+// A deadly segment is found on servers that are full, also if two more crash in between.
+func TestCounterFindsSegmentOnFullServers(t *testing.T) {
+	c := newTestCounter(t)
+	id := uint64(1000)
+	crashFull := func(server string, more ...Request) {
+		for range 400 {
+			id += 2
+			more = append(more, req(id, id%4, id%150, id+1))
+		}
+		c.ObserveCrash(server, more)
+	}
+	for i, s := range []string{"a", "b", "c"} {
+		c.now = c.now.Add(time.Minute)
+		crashFull(s, req(uint64(i), first, dead))
+		c.ObserveResponse(req(9, first, 0, 1, 2, 3))
+		for j := range uint64(150) {
+			c.ObserveResponse(req(9, j))
+		}
+		for j := range 2 {
+			if i == 1 {
+				crashFull(string(rune('A' + j)))
+			}
+		}
+	}
+	c.check("after three crashes", req(900, first, dead), true)
+	c.check("sound", req(900, first, 3), false)
+}
+
 // A failure domain that is lost is seen server by server: its crashes do not condemn what its servers ran, but those
 // of a deadly segment that is sent to one domain do, once they go on.
 func TestCounterSparesLostDomain(t *testing.T) {
--- a/core/suspect/search_test.go
+++ b/core/suspect/search_test.go
@@ -38,3 +38,19 @@
 		c.search()
 	}
 }
+
+// The search of crashes of full servers whose requests share segments.
+func BenchmarkSearchFullServers(b *testing.B) {
+	c := &Counter{}
+	for i := range uint64(maxCounted / 1600) {
+		x := &crash{server: strconv.FormatUint(i, 10), at: time.Unix(int64(i), 0)}
+		for j := range uint64(400) {
+			id := 1000 + 1000*i + 2*j
+			x.requests = append(x.requests, req(id, id%4, 4+id%150, id+1))
+		}
+		c.crashes = append(c.crashes, x)
+	}
+	for b.Loop() {
+		c.search()
+	}
+}
