--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -91,7 +91,7 @@
 	if good || len(tried) >= maxServers || q.remaining() < minRetryTime {
 		return false
 	}
-	if !a.notRun && (!q.route.Repeatable || runs >= q.route.Attempts) {
+	if !a.notRun && (!q.route.Repeatable || !q.mayRunAgain(runs)) {
 		return false
 	}
 	return q.pick(tried) != nil
@@ -252,7 +252,7 @@
 		q.fail(err.Error(), 0)
 	}
 	good := a.response.Status < http.StatusInternalServerError
-	if good { // an error may be sent before the request runs
+	if q.provesRun(a.response.Status) {
 		q.reportComplete(a, t)
 	}
 	q.end("answered", good, 0, zap.String("server", t.ID), zap.Int("status", a.response.Status))
--- a/io/proxy/suspect.go
+++ b/io/proxy/suspect.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,6 +74,12 @@
 	return true
 }
 
+// mayRunAgain reports whether the request may be sent again after servers broke it off runs times. One that may
+// crash servers for the same reason as others is not.
+func (q *request) mayRunAgain(runs int) bool {
+	return runs < q.route.Attempts && !q.server.Suspects.MayBePoison(q.suspect())
+}
+
 // reportBroken reports that a server may have crashed while it ran the request.
 func (q *request) reportBroken(a *attempt, t *relay.Server) {
 	if a.notRun {
@@ -95,6 +102,15 @@
 	q.server.OnSuccess(q.suspect())
 }
 
+// provesRun reports whether a response of a status shows that the request has run. Servers may send an error before
+// it runs, and reject a prompt before they have read it.
+func (q *request) provesRun(status int) bool {
+	if len(q.meta.SegmentIDs) > 0 {
+		return status < http.StatusMultipleChoices
+	}
+	return status < http.StatusInternalServerError
+}
+
 // onEvents reports the progress of an event stream after n reads with events.
 func (a *attempt) onEvents(q *request, g *placement.Decision, n int) {
 	a.reads = n
