A server whose response says Server-Leaving: 1 in a second field is leaving

Cause: only the first field was read.

TestServerLeavingInAnyResponse failed before, in one row of 16: `GET 200 OK with "Server-Leaving: 0\r\nServer-Leaving: 1\r\n": got 38 more requests, want none: true`.

--- a/io/edge/leaving_test.go
+++ b/io/edge/leaving_test.go
@@ -99,6 +99,54 @@
 	})
 }
 
+// Any response to a request counts, whatever became of it, if one of its fields says 1.
+func TestServerLeavingInAnyResponse(t *testing.T) {
+	const text, events = "Content-Length: 2\r\n\r\nok", "Content-Type: text/event-stream\r\nContent-Length: 99\r\n\r\nid: 1\ndata: 1\n\nid: 2\nda"
+	for _, c := range []struct {
+		kind, method, path, status, fields, body string
+		want                                     bool
+	}{
+		{"plain", "GET", "/read/x", "200 OK", "Server-Leaving: 1\r\n", text, true},
+		{"plain", "GET", "/read/x", "200 OK", "SERVER-leaving:1\r\n", text, true},
+		{"plain", "GET", "/read/x", "200 OK", "Server-Leaving: 1\r\nServer-Leaving: 1\r\n", text, true},
+		{"plain", "GET", "/read/x", "200 OK", "Server-Leaving: 0\r\nServer-Leaving: 1\r\n", text, true},
+		{"plain", "GET", "/read/x", "200 OK", "Server-Leaving: 1\r\nConnection: Server-Leaving\r\n", text, true},
+		{"plain", "GET", "/read/x", "200 OK", "Server-Leaving: 0\r\n", text, false},
+		{"plain", "HEAD", "/read/x", "200 OK", "Server-Leaving: 1\r\n", "Content-Length: 2\r\n\r\n", true},
+		{"plain", "GET", "/read/x", "404 Not Found", "Server-Leaving: 1\r\n", text, true},
+		{"plain", "POST", "/file/x", "500 Internal Server Error", "Server-Leaving: 1\r\n", text, true},
+		{"plain", "GET", "/read/x", "500 Internal Server Error", "Server-Leaving: 0\r\n", text, false},
+		{"plain", "POST", "/file/x", "503 Service Unavailable", "Server-Leaving: 1\r\n", text, true},
+		{"plain", "GET", "/read/x", "421 Misdirected Request", "Server-Leaving: 1\r\n", text, true},
+		{"plain", "GET", "/read/x", "200 OK", "Server-Leaving: 1\r\n", "Content-Length: 9\r\n\r\nok", true}, // broken off
+		{"model", "POST", "/draft/x", "200 OK", "Server-Leaving: 1\r\n", events, true},                      // resumed elsewhere
+		{"model", "POST", "/draft/x", "200 OK", "Server-Leaving: 0\r\n", events, false},
+		{"model", "POST", "/draft/x", "500 Internal Server Error", "Server-Leaving: 1\r\n", text, true},
+	} {
+		runFleet(t, func(w *testFleet) {
+			var s *platformstandin.Server // that has answered so
+			for _, x := range w.all(c.kind) {
+				x.Raw = func(r platformstandin.Run) string {
+					if r.ID != "first" || s != nil {
+						return ""
+					}
+					s = x
+					return "HTTP/1.1 " + c.status + "\r\nX-Bergamotspring-Request-Id: first\r\n" + c.fields + c.body
+				}
+			}
+			w.request("a1", c.method, c.path, "first")
+			before := len(s.Runs())
+			for i := range 40 { // for longer than all backoffs
+				w.request("a1", c.method, c.path, fmt.Sprint("later", i))
+				time.Sleep(250 * time.Millisecond)
+			}
+			if got := len(s.Runs()) == before; got != c.want {
+				t.Errorf("%s %s with %q: got %d more requests, want none: %v", c.method, c.status, c.fields, len(s.Runs())-before, c.want)
+			}
+		})
+	}
+}
+
 // Model requests are placed by another node, which did not see the response: it places none at the
 // server for this node, and one that it has placed there already is not sent.
 func TestModelServerLeavingInResponse(t *testing.T) {
