--- a/io/edge/serverguard.go
+++ b/io/edge/serverguard.go
@@ -70,7 +70,6 @@
 	d, err := platform.HoldOff(status, h)
 	if err != nil {
 		g.log.Warn("hold_off_ignored", zap.String("server", p.ID), zap.Error(err))
-		return
 	}
 	if d <= 0 {
 		return
