Requests with a stage that is known to have no server are refused at once

Change: the cache notes since when each service has had no usable server, and when the store last confirmed the entries, to this node or another one. A service is absent if the store has responded later than reconnectGrace after the one and the end of the last outage. The coordinator refuses requests with such a stage when they arrive and, which holds for stages whose servers have all stated that they are leaving too, those that wait; not those all of whose tasks run in batches. While the store is silent, or entries may return, requests wait as before.

TestStageServersGone failed before: `got 503 after 3.386s for a request that waited`, `after 3.375s` for one that came 5.4 s after the entries had gone. TestAbsentStage fails if tasks in batches count.

--- a/core/placement/modelserver_test.go
+++ b/core/placement/modelserver_test.go
@@ -58,6 +58,25 @@
 	b.want("batches outside the region", len(b.batches), 0)
 }
 
+// Requests that wait for a stage are refused when its service is known to be absent, but not those all of whose tasks
+// run in a batch that has not ended.
+func TestAbsentStage(t *testing.T) {
+	for _, absent := range []bool{false, true} {
+		b := newHarness(t)
+		b.scheduler.Absent = func(service string) bool { return absent && service == "encode" }
+		b.keepServers("encode-a", "model-a")
+		b.submit("runs", 8, 1000, nil)
+		b.submit("waits", 8, 1000, nil)
+		b.keepServers("model-a")
+		b.advance(100 * time.Millisecond)
+		refused := len(b.decisions) == 1 && b.decisions[0].ID == "waits" && b.decisions[0].Reason == ReasonNoServer && b.decisions[0].RetryAfter > 0
+		b.want("refusal of the one that waits", refused, absent)
+		b.completeBatch()
+		last := b.decisions[len(b.decisions)-1]
+		b.want("grant of the other", last.ID == "runs" && last.Granted(), true)
+	}
+}
+
 // A model server that failed a request gets none for a while.
 func TestModelServerBackoff(t *testing.T) {
 	b := newHarness(t)
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -190,15 +190,18 @@
 	return q.nearest
 }
 
-// stageServersLeft reports whether a stage of a job has tasks and no server that may run them, as those that there
-// are have stated that they are leaving. Servers whose entries are gone may be back soon.
-func (h *Scheduler) stageServersLeft(j *job) bool {
+// lacksStageServers reports whether a stage of a job has tasks that are in no batch, and no server that may run them:
+// those that there are have stated that they are leaving, or there are none and none will be back soon.
+func (h *Scheduler) lacksStageServers(j *job) bool {
 	return slices.ContainsFunc(j.stages, func(s *jobStage) bool {
-		if s.remaining == 0 || len(h.View().Departing[s.request.Service]) == 0 {
+		if s.remaining <= s.inBatch {
 			return false
 		}
-		l := h.nearestStageServers(h.pool(s.request.Service))
-		return !slices.ContainsFunc(l, func(m *stageServer) bool { return j.allows(m.server.Region) })
+		n := s.request.Service
+		if slices.ContainsFunc(h.nearestStageServers(h.pool(n)), func(m *stageServer) bool { return j.allows(m.server.Region) }) {
+			return false
+		}
+		return len(h.View().Departing[n]) > 0 || h.Absent != nil && h.Absent(n)
 	})
 }
 
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -35,6 +35,8 @@
 	Now    func() time.Time
 	View   func() *relay.View
 	Region string
+	// Absent reports whether a service without servers is known to get none back soon; nil: never.
+	Absent func(service string) bool
 	// CountFirst counts a task that is queued for the first time at a service; TakeRetry
 	// takes one retry from the budget of a service and reports whether it was allowed.
 	// Nil: not counted, and always allowed.
@@ -90,7 +92,7 @@
 	h.jobs[a.ID] = j
 	h.adoptProgress(j)
 	h.adoptInBatches(j)
-	if h.stageServersLeft(j) {
+	if h.lacksStageServers(j) {
 		h.refuse(j, ReasonNoServer, noServerRetryAfter)
 		return
 	}
@@ -326,6 +328,8 @@
 			h.forget(id)
 		case j.granted == nil && (now.Add(h.minTime(j)).After(j.deadline) || h.missesDeadline(j, now)):
 			h.refuse(j, ReasonLate, h.retryAfter(j))
+		case j.granted == nil && h.lacksStageServers(j):
+			h.refuse(j, ReasonNoServer, noServerRetryAfter)
 		case j.granted == nil && !j.handingOver:
 			j.admittedLate = j.admittedLate && h.behindGoal(j, now)
 			h.advance(j)
--- a/core/relay/cache.go
+++ b/core/relay/cache.go
@@ -29,6 +29,8 @@
 	reconnectedAt time.Time            // when the last outage of the store ended
 	leaving       map[string]leavingMark
 	gone          map[string]time.Time // when entries were removed, for leavingTTL
+	confirmedAt   time.Time            // when the store last confirmed the entries
+	emptySince    map[string]time.Time // when each service without usable servers was first seen so
 	view          *View
 }
 
@@ -48,10 +50,46 @@
 		l, departing := s.currentServers()
 		s.view = NewView(s.config, l, s.takenOut)
 		s.view.Departing = departing
+		s.findEmpty()
 	}
 	return s.view
 }
 
+// findEmpty updates which services have no usable servers in the view. The lock is held.
+func (s *Cache) findEmpty() {
+	old := s.emptySince
+	s.emptySince = map[string]time.Time{}
+	if s.config == nil {
+		return
+	}
+	for n := range s.config.Services {
+		if len(s.view.Servers[n]) > 0 {
+			continue
+		}
+		t, ok := old[n]
+		if !ok {
+			t = s.now()
+		}
+		s.emptySince[n] = t
+	}
+}
+
+// Absent reports whether a service has had no usable server for longer than entries that expired in an
+// outage take to return, and the store has responded since then.
+func (s *Cache) Absent(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.emptySince[service]
+	return ok && s.confirmedAt.Sub(later(t, s.reconnectedAt)) > reconnectGrace
+}
+
+// Confirmed records that the store confirmed the entries.
+func (s *Cache) Confirmed(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmedAt = later(at, s.confirmedAt)
+}
+
 // Domain returns the failure domain of a server, empty if it is not known.
 func (s *Cache) Domain(id string) string {
 	s.mu.Lock()
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -107,6 +107,53 @@
 	}
 }
 
+// A service is absent if the store has confirmed for longer than the grace period after the last outage that none of its
+// servers is usable.
+func TestAbsent(t *testing.T) {
+	at := func(d time.Duration) time.Time { return time.Unix(100, 0).Add(d) }
+	const late = reconnectGrace + time.Millisecond
+	for _, c := range []struct {
+		name string
+		do   func(s *Cache)
+		want bool
+	}{
+		{"a server is left", func(s *Cache) { s.Put(&Server{ID: "2", Service: "s"}); s.Confirmed(at(late)) }, false},
+		{"not confirmed", func(*Cache) {}, false},
+		{"confirmed soon", func(s *Cache) { s.Confirmed(at(reconnectGrace)) }, false},
+		{"confirmed late", func(s *Cache) { s.Confirmed(at(late)); s.Confirmed(at(0)) }, true},
+		{"after an outage", func(s *Cache) { s.Reconnected(at(time.Second)); s.Confirmed(at(late)) }, false},
+		{"long after an outage", func(s *Cache) { s.Reconnected(at(time.Second)); s.Confirmed(at(time.Second + late)) }, true},
+		{"back for a moment", func(s *Cache) {
+			s.Put(&Server{ID: "1", Service: "s"})
+			s.View()
+			s.Now = func() time.Time { return at(time.Second) }
+			s.Delete("1")
+			s.View()
+			s.Confirmed(at(late))
+		}, false},
+		{"other views", func(s *Cache) {
+			s.Now = func() time.Time { return at(time.Second) }
+			s.Put(&Server{ID: "2", Service: "x"})
+			s.View()
+			s.Confirmed(at(late))
+		}, true},
+	} {
+		s := Cache{Now: func() time.Time { return at(0) }}
+		g := config(1)
+		g.Services["s"] = &Service{Name: "s"}
+		s.Install(g)
+		s.Put(&Server{ID: "1", Service: "s"})
+		s.View()
+		s.Delete("1")
+		s.View()
+		c.do(&s)
+		s.View()
+		if got := s.Absent("s"); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 func TestViewOmitsUnavailableServers(t *testing.T) {
 	l := []*Server{{ID: "1", Service: "s", Domain: "a"}, {ID: "2", Service: "s", Domain: "b"}, {ID: "3", Service: "s", Domain: "a", Leaving: true}}
 	v := NewView(config(1), l, map[string]bool{"b": true})
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -157,7 +157,7 @@
 	n.requestRetries = retries{settings: s, slackShare: n.nodeShare}
 	n.taskRetries = retries{settings: s, slackShare: n.coordinatorShare}
 	n.scheduler.pool, n.scheduler.log, n.scheduler.guard = &n.pool, n.Log, &n.serverGuard
-	n.scheduler.core = placement.Scheduler{Now: time.Now, View: n.cache.View, Region: s.Region, CountFirst: n.taskRetries.countFirst, TakeRetry: n.takeTaskRetry}
+	n.scheduler.core = placement.Scheduler{Now: time.Now, View: n.cache.View, Absent: n.cache.Absent, Region: s.Region, CountFirst: n.taskRetries.countFirst, TakeRetry: n.takeTaskRetry}
 	n.tableFollower = tableFollower{settings: s, tables: &n.tableCache, cache: &n.cache, roster: &n.roster, log: n.Log, mesh: n.mesh.Load}
 	n.tableFollower.core = fanout.Follower{Self: s.Peer, Now: time.Now}
 	n.tableFollower.outages.Self = s.Peer
--- a/io/edge/leaving_test.go
+++ b/io/edge/leaving_test.go
@@ -209,3 +209,27 @@
 		}
 	})
 }
+
+// Requests with a stage whose servers' entries are gone wait for them for as long as entries take to return after an
+// outage, and are refused at once from then on. While the store is silent nothing tells whether they return.
+func TestStageServersGone(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		runFleet(t, func(w *testFleet) {
+			for _, s := range w.all("encode") {
+				w.store.Remove("servers", s.ID)
+			}
+			time.Sleep(2 * time.Second) // the nodes have read it
+			for _, n := range w.nodes {
+				w.store.Refuse(n.node.Settings.IP, silent)
+			}
+			r := w.stream("a1", "/draft/x", "waiting")
+			if r.status != 503 || (r.took > 3*time.Second) != silent {
+				t.Errorf("store silent: %v: got %d after %v for a request that waited", silent, r.status, r.took)
+			}
+			r = w.stream("a1", "/draft/x", "later")
+			if r.status != 503 || r.header.Get("Retry-After") == "" || (r.took > 20*time.Millisecond) != silent {
+				t.Errorf("store silent: %v: got %d %v after %v", silent, r.status, r.header, r.took)
+			}
+		})
+	}
+}
--- a/io/edge/tablecache.go
+++ b/io/edge/tablecache.go
@@ -47,6 +47,7 @@
 	b.operator = b.watch(platform.TableOperator, operatorLongPoll, 0, b.onOperatorRows)
 	b.servers = b.watch(platform.TableServers, 0, serversPollInterval, b.onServerRows)
 	b.servers.onResponse, b.servers.onFailure = b.onResponse, b.onFailure
+	b.servers.onMerge = b.cache.Confirmed
 	b.servers.copy.Content = b.serverContent
 	b.servers.copy.Differs = b.coldLonger
 	b.nodes = b.watch(platform.TableNodes, nodesLongPoll, nodesPollInterval, b.onNodeRows)
--- a/io/edge/tablewatch.go
+++ b/io/edge/tablewatch.go
@@ -46,6 +46,8 @@
 	reading  *readSwitch
 	// onChange is called with all rows and the keys of those that changed.
 	onChange func(rows map[string]replica.Row, keys []string)
+	// onMerge, if set, is called when the store has confirmed the copy, to this or another node, after onChange.
+	onMerge func(confirmedAt time.Time)
 	// onConfirm is called after the store has responded, without a lock.
 	onConfirm func()
 	// onResponse and onFailure, if set, are called when the store has responded, before the changes are
@@ -134,6 +136,9 @@
 	if len(keys) > 0 {
 		f.onChange(f.copy.Rows(), keys)
 	}
+	if f.onMerge != nil {
+		f.onMerge(f.copy.ConfirmedAt())
+	}
 	return f.copy.Agrees(c)
 }
 
