core/placement: BenchmarkRequest runs for as long as it is asked to

With -benchtime 2s it panicked in most runs (a nil testing.T in completeBatch): its clock stood still, so after 43,958 requests the servers of the stage counted as overloaded, and the request was refused. The clock now goes on by 100 ms a request.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -286,6 +286,7 @@
 		}
 		x.releases = x.releases[:0]
 		x.collect()
+		x.now = x.now.Add(100 * time.Millisecond) // the servers do 44 tasks a second
 	}
 }
 
