core/relay: a server that states again that it is leaving is marked again after its mark has expired

Cause: since views do not drop marks that have expired. Such a mark did not count, but was taken for one that is in force when the server stated so again.

Change: an expired mark is replaced.

TestMarkWithoutEntry failed before: `got false and false when marked again after 1m0s, want a new mark`.

--- a/core/relay/leaving.go
+++ b/core/relay/leaving.go
@@ -50,7 +50,7 @@
 	case x.StartedAt != p.StartedAt:
 		return false // the entry is that of its successor
 	}
-	if old, ok := s.leaving[p.ID]; ok && old.startedAt == m.startedAt {
+	if old, ok := s.leaving[p.ID]; ok && old.startedAt == m.startedAt && !old.expired(s.now()) {
 		return false
 	}
 	if s.leaving == nil {
--- a/core/relay/leaving_test.go
+++ b/core/relay/leaving_test.go
@@ -99,7 +99,13 @@
 			t.Errorf("%s: got %d marks and %d removed entries after their time", c.name, len(s.leaving), len(s.gone))
 		}
 	}
-	s := Cache{Now: func() time.Time { return time.Unix(100, 0) }}
+	now := time.Unix(100, 0)
+	s := Cache{Now: func() time.Time { return now }}
+	s.MarkLeaving(Process{ID: "1"})
+	now = now.Add(leavingTTL + time.Second)
+	if again := s.MarkLeaving(Process{ID: "1"}); !again || !s.Withdrawn(Process{ID: "1"}) {
+		t.Errorf("got %v and %v when marked again after %v, want a new mark", again, s.Withdrawn(Process{ID: "1"}), leavingTTL)
+	}
 	s.Put(&Server{ID: "1", StartedAt: 5})
 	s.MarkLeaving(Process{ID: "1", StartedAt: 5})
 	s.Delete("1")
