A server that said that it is leaving is marked also if its entry came while the request was there

What servers saw: a node that sent a request where another node had placed it, before it read the server's entry, and read that before the response, went on sending requests until a later response said so again (rule DRAIN).

Cause: the process of the request was not known, and the response was taken for one of an earlier process than the entry's.

TestMarkAfterEntryCame failed before: `got false false, and [0x...] in the view, want a mark`.

--- a/core/relay/leaving.go
+++ b/core/relay/leaving.go
@@ -47,6 +47,8 @@
 	switch x := s.servers[p.ID]; {
 	case x == nil:
 		m.removedAt = s.now()
+	case p.StartedAt == 0: // the entry came after the request was sent
+		m.startedAt = x.StartedAt
 	case x.StartedAt != p.StartedAt:
 		return false // the entry is that of its successor
 	}
--- a/core/relay/leaving_test.go
+++ b/core/relay/leaving_test.go
@@ -114,6 +114,20 @@
 	}
 }
 
+// A response to a request that was sent before this node read the server's entry marks the process of the entry.
+func TestMarkAfterEntryCame(t *testing.T) {
+	s := Cache{Now: func() time.Time { return time.Unix(100, 0) }}
+	p := s.Process(&Server{ID: "1"}) // as another node has granted it
+	s.Put(&Server{ID: "1", Service: "s", StartedAt: 5})
+	first, again := s.MarkLeaving(p), s.MarkLeaving(p)
+	if !first || again || !s.Withdrawn(Process{ID: "1", StartedAt: 5}) || len(s.View().Servers["s"]) > 0 {
+		t.Errorf("got %v %v, and %v in the view, want a mark", first, again, s.View().Servers["s"])
+	}
+	if s.Put(&Server{ID: "1", Service: "s", StartedAt: 6}); len(s.View().Servers["s"]) != 1 {
+		t.Error("the next process is not in the view")
+	}
+}
+
 // A node that has read that a server's entry says leaving, or that its failure domain is taken out, sends nothing
 // there, also if it was placed by another node, which does not tell the process.
 func TestWithdrawnByEntry(t *testing.T) {
