io/exchange: connections of releases are not used again after a refusal

A copy of a 421, which an earlier server of the address was sent, then counts as the end of the present one: its results are forgotten and made again. A copy of a 503 begins a hold-off that nothing asked for.

Cause: releases are interchangeable, as it does no harm if results count as released too early. That holds for a 200 only.

Change: after any other status the connection is closed, as before.

TestInterchangeableRequests failed before: `got 0 more connections after a refusal, want one`.

--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -44,7 +44,7 @@
 	// connection.
 	Echo string
 	// Interchangeable says that the response to an earlier such request will do if it comes once more in place of
-	// this one's. Connections of such requests carry no others, and are used again without a mark of Whole.
+	// this one's. Connections of such requests carry no others, and are used again after a 200 without a mark of Whole.
 	Interchangeable bool
 	Guard           Guard
 }
@@ -153,8 +153,9 @@
 
 // Whole sends a request whose server echoes no id, and reads its whole response. A response with the mark
 // of an earlier one is a copy and is skipped. After one without a mark the connection is not used again,
-// as nothing would tell a copy of it from the response to the next request, unless these are interchangeable. If the response does not
-// belong to the request, or is longer than limit bytes, the exchange counts as broken off.
+// as nothing would tell a copy of it from the response to the next request, unless these are interchangeable
+// and it is a 200. If the response does not belong to the request, or is longer than limit bytes, the exchange
+// counts as broken off.
 func (p *Pool) Whole(ctx context.Context, r *Request, limit int64, identify Identify) (int, []byte, error) {
 	a, body, err := p.do(ctx, r) //nolint:bodyclose // ended below
 	if err != nil {
@@ -166,7 +167,7 @@
 		b, mark, err = readWhole(a, limit, identify)
 		if body.conn.isNew(mark) {
 			r.Guard.onHead(a.StatusCode, a.Header)
-			body.reuse = (mark != "" || r.Interchangeable) && framed(a) && !a.Close
+			body.reuse = (mark != "" || r.Interchangeable && a.StatusCode == http.StatusOK) && framed(a) && !a.Close
 			break
 		}
 		body.conn.onForeign(r, a.StatusCode)
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -234,7 +234,8 @@
 	})
 }
 
-// Interchangeable requests share a connection, also without marks, and no other request gets it.
+// Interchangeable requests share a connection, also without marks, and no other request gets it. It is not used again
+// after a refusal.
 func TestInterchangeableRequests(t *testing.T) {
 	run(t, func(s *script) {
 		for i, c := range []struct {
@@ -247,6 +248,16 @@
 				t.Errorf("request %d: got %q %v on %d connections, want %q on %d", i, got, err, s.conns, c.response, c.conns)
 			}
 		}
+		before := s.conns
+		for _, response := range []string{"HTTP/1.1 503 no\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", okResponse("", "")} {
+			s.responses <- response
+			if _, err := s.wholeOf(context.Background(), true); err != nil {
+				t.Error(err)
+			}
+		}
+		if s.conns != before+1 {
+			t.Errorf("got %d more connections after a refusal, want one", s.conns-before)
+		}
 	})
 }
 
