Nodes work beside those of the protocol version before theirs, so that an update node by node serves on

Both ends of a link refused any version but their own, so nodes of the two builds did not link, but competed for the same leases, whose holder was then out of reach for half of the nodes.

Change: a node accepts hellos of the version before its own and answers in that version. The frames of a connection are those of the version agreed on: an Ask to such a peer is sent as Ask2 of the schema, without the prefix, also if it was queued while the link was dialled, and one from it is read as such (io/peer/version.go). No other message of the own interface differs between 2 and 3, by the lists in schema/testdata/messages.txt. The link of a node that was updated is dialled anew and is then in version 3.

Links of the users' platform go on refusing other versions (onlyCurrent): PlacementProtocol has no previous version, and its messages could not be decoded.

What a mixed fleet does without: a request is judged by the start of its prompt (decision 005) only if its node and the lease holder of its group are both of this build. Leases, promises, handovers, permits, releases, claims, limits, and suspects by fingerprint are the same in both versions.

TestBadPeers has one more row, the version before the previous one; its other rows are unchanged. FuzzFrame decodes Ask2 too.

--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -23,7 +23,8 @@
 type conn struct {
 	net      net.Conn
 	in       *bufio.Reader
-	maxFrame int // limit of the bytes of a message to be sent; 0: the sender checks
+	maxFrame int  // limit of the bytes of a message to be sent; 0: the sender checks
+	previous bool // both ends use previousProtocol
 	stats    *counters
 
 	lastReceived atomic.Int64 // Unix nanoseconds of the last frame received
@@ -56,6 +57,12 @@
 
 // enqueue queues a frame. The frame is not sent if it returns an error.
 func (c *conn) enqueue(t Type, b *buffer) error {
+	if c.previous {
+		var err error
+		if b, err = toPrevious(t, b); err != nil {
+			return err
+		}
+	}
 	if n := b.Len() - headerBytes; c.maxFrame > 0 && n > c.maxFrame {
 		b.free()
 		return &OversizedError{Size: n, Limit: c.maxFrame}
--- a/io/peer/frame_test.go
+++ b/io/peer/frame_test.go
@@ -45,7 +45,7 @@
 		if err != nil {
 			return
 		}
-		for _, v := range bodies() {
+		for _, v := range append(bodies(), &wire.Ask2{}) {
 			err := decode(m.body, v)
 			if _, ok := errors.AsType[*FrameError](err); err != nil && !ok {
 				t.Errorf("got %v, want *FrameError", err)
--- a/io/peer/hello.go
+++ b/io/peer/hello.go
@@ -34,19 +34,20 @@
 	return string(h.Sum(nil))
 }
 
-func (m *Mesh) newHello() *wire.Hello {
+// newHello returns the hello of this node in a protocol version.
+func (m *Mesh) newHello(version int) *wire.Hello {
 	n := make([]byte, nonceBytes)
 	_, _ = rand.Read(n) // never fails
 	return &wire.Hello{
-		Protocol: Protocol, Node: m.Self.Node, Incarnation: m.Self.Incarnation, Nonce: string(n),
+		Protocol: version, Node: m.Self.Node, Incarnation: m.Self.Incarnation, Nonce: string(n),
 	}
 }
 
-// dialHello authenticates a connection as the dialler and returns the instance of the
-// acceptor.
-func (m *Mesh) dialHello(c net.Conn, r *bufio.Reader) (lease.Instance, error) {
+// dialHello authenticates a connection as the dialler, offers a protocol version, and returns the instance
+// of the acceptor.
+func (m *Mesh) dialHello(c net.Conn, r *bufio.Reader, version int) (lease.Instance, error) {
 	_ = c.SetDeadline(time.Now().Add(helloTimeout)) // a failure shows in the reads
-	mine := m.newHello()
+	mine := m.newHello(version)
 	if err := m.writeHello(c, TypeHello, mine); err != nil {
 		return lease.Instance{}, err
 	}
@@ -54,7 +55,7 @@
 	if err := m.readHello(r, TypeHello, &peer); err != nil {
 		return lease.Instance{}, err
 	}
-	if peer.Protocol != Protocol {
+	if peer.Protocol != version {
 		return lease.Instance{}, &HelloError{Cause: "other protocol version"}
 	}
 	if !hmac.Equal([]byte(peer.Mac), []byte(mac(m.Key, "acceptor", mine, &peer))) {
@@ -67,36 +68,36 @@
 	return lease.Instance{Node: peer.Node, Incarnation: peer.Incarnation}, c.SetDeadline(time.Time{})
 }
 
-// acceptHello authenticates a connection as the acceptor and returns the instance of the
-// dialler.
-func (m *Mesh) acceptHello(c net.Conn, r *bufio.Reader) (lease.Instance, error) {
+// acceptHello authenticates a connection as the acceptor, in the protocol version that the dialler offers,
+// and returns the instance of the dialler and that version.
+func (m *Mesh) acceptHello(c net.Conn, r *bufio.Reader) (lease.Instance, int, error) {
 	_ = c.SetDeadline(time.Now().Add(helloTimeout)) // a failure shows in the reads
 	var peer wire.Hello
 	if err := m.readHello(r, TypeHello, &peer); err != nil {
-		return lease.Instance{}, err
+		return lease.Instance{}, 0, err
 	}
-	if peer.Protocol != Protocol {
+	if !m.speaks(peer.Protocol) {
 		m.stats.badVersions.Add(1)
 		_ = m.writeHello(c, TypeFault, &wire.Fault{Code: int(CodeVersion), Text: "other protocol version"})
-		return lease.Instance{}, &HelloError{Cause: "other protocol version"}
+		return lease.Instance{}, 0, &HelloError{Cause: "other protocol version"}
 	}
 	if len(peer.Nonce) != nonceBytes {
-		return lease.Instance{}, &HelloError{Cause: "bad nonce"}
+		return lease.Instance{}, 0, &HelloError{Cause: "bad nonce"}
 	}
-	mine := m.newHello()
+	mine := m.newHello(peer.Protocol)
 	mine.Mac = mac(m.Key, "acceptor", &peer, mine)
 	if err := m.writeHello(c, TypeHello, mine); err != nil {
-		return lease.Instance{}, err
+		return lease.Instance{}, 0, err
 	}
 	var p wire.Proof
 	if err := m.readHello(r, TypeProof, &p); err != nil {
-		return lease.Instance{}, err
+		return lease.Instance{}, 0, err
 	}
 	if !hmac.Equal([]byte(p.Mac), []byte(mac(m.Key, "dialler", &peer, mine))) {
 		m.stats.unauthenticated.Add(1)
-		return lease.Instance{}, &HelloError{Cause: "wrong key"}
+		return lease.Instance{}, 0, &HelloError{Cause: "wrong key"}
 	}
-	return lease.Instance{Node: peer.Node, Incarnation: peer.Incarnation}, c.SetDeadline(time.Time{})
+	return lease.Instance{Node: peer.Node, Incarnation: peer.Incarnation}, peer.Protocol, c.SetDeadline(time.Time{})
 }
 
 // writeHello writes one frame of the hello.
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -50,8 +50,9 @@
 	// accepted a link earlier. After a link closed there are three dials 150 ms apart.
 	OnRefused func(address string, h lease.Instance)
 
-	stats  counters
-	server server
+	stats       counters
+	server      server
+	onlyCurrent bool // links to no node of previousProtocol
 
 	once       sync.Once
 	ctx        context.Context
@@ -223,10 +224,20 @@
 	m.onLinkLost(l, err)
 }
 
-// connect dials an address and authenticates the connection.
+// connect dials an address and authenticates the connection. A peer that refuses this version is offered the
+// previous one.
 func (m *Mesh) connect(address string) (*conn, lease.Instance, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, helloTimeout)
 	defer cancel()
+	c, h, err := m.connectAs(ctx, address, Protocol)
+	if e, ok := errors.AsType[*RemoteError](err); ok && e.Code == CodeVersion && m.speaks(previousProtocol) {
+		return m.connectAs(ctx, address, previousProtocol)
+	}
+	return c, h, err
+}
+
+// connectAs dials an address and authenticates the connection in a protocol version.
+func (m *Mesh) connectAs(ctx context.Context, address string, version int) (*conn, lease.Instance, error) {
 	dial := m.Dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -240,7 +251,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = n.Close() })
 	c := newConn(n, newReader(n), &m.stats)
-	h, err := m.dialHello(n, c.in)
+	c.previous = version == previousProtocol
+	h, err := m.dialHello(n, c.in, version)
 	if err != nil || !stop() {
 		_ = n.Close() // the error of the hello is returned
 		return nil, lease.Instance{}, errors.Join(err, context.Cause(ctx))
--- a/io/peer/mesh_test.go
+++ b/io/peer/mesh_test.go
@@ -207,7 +207,7 @@
 	}
 	after := func(b string) func(*Mesh, net.Conn) {
 		return func(m *Mesh, n net.Conn) {
-			m.dialHello(n, bufio.NewReader(n))
+			m.dialHello(n, bufio.NewReader(n), Protocol)
 			n.Write([]byte(b))
 		}
 	}
@@ -220,13 +220,16 @@
 		{"large hello", raw("\x00\x00\x08\x00"), Stats{Oversized: 1}},
 		{"request before hello", raw("\x00\x00\x00\x04\x93\x06\x01\xc0"), Stats{Unauthenticated: 1}},
 		{"other version", func(m *Mesh, n net.Conn) {
-			h := m.newHello()
+			h := m.newHello(Protocol)
 			h.Protocol++
 			m.writeHello(n, TypeHello, h)
 		}, Stats{BadVersions: 1}},
+		{"version before the previous one", func(m *Mesh, n net.Conn) {
+			m.writeHello(n, TypeHello, m.newHello(previousProtocol-1))
+		}, Stats{BadVersions: 1}},
 		{"wrong key", func(m *Mesh, n net.Conn) {
 			r := bufio.NewReader(n)
-			m.writeHello(n, TypeHello, m.newHello())
+			m.writeHello(n, TypeHello, m.newHello(Protocol))
 			m.readHello(r, TypeHello, &wire.Hello{})
 			m.writeHello(n, TypeProof, &wire.Proof{Mac: strings.Repeat("x", 32)})
 		}, Stats{Unauthenticated: 1}},
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -4,8 +4,8 @@
 
 import "fmt"
 
-// Protocol is the version that both ends of a link must have. The messages of PlacementHandlers have
-// another one, PlacementProtocol.
+// Protocol is the newest version of the messages on a link. Nodes of two successive versions work together,
+// see version.go. The messages of PlacementHandlers have a version of their own, PlacementProtocol.
 const Protocol = 3
 
 // Type is the type of a message, as sent.
--- a/io/peer/placement.go
+++ b/io/peer/placement.go
@@ -41,6 +41,7 @@
 
 // Register sets the handlers of m. It must be called before Serve.
 func (h PlacementHandlers) Register(m *Mesh) {
+	m.onlyCurrent = true // PlacementProtocol has no previous version
 	handle(m, TypePlaceAsk, true, func(r *Request, b wire.PlaceAsk) {
 		progress := func(l []placement.StageProgress) {
 			r.SendProgress(TypePlaceProgress, &wire.PlaceProgress{Made: each(l, wireStageProgress)})
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -36,7 +36,12 @@
 }
 
 // Decode reads the body into a pointer to a type of schema/wire.
-func (r *Request) Decode(v any) error { return decode(r.body, v) }
+func (r *Request) Decode(v any) error {
+	if a, ok := v.(*wire.Ask); ok && r.conn.previous {
+		return decodePreviousAsk(r.body, a)
+	}
+	return decode(r.body, v)
+}
 
 // ExpectsReply reports whether the sender waits for a response.
 func (r *Request) ExpectsReply() bool { return r.seq != 0 }
@@ -177,7 +182,8 @@
 	}
 	c := newConn(n, newReader(n), &m.stats)
 	c.maxFrame = m.maxFrame()
-	h, err := m.acceptHello(n, c.in)
+	h, v, err := m.acceptHello(n, c.in)
+	c.previous = v == previousProtocol
 	if err != nil || !m.server.register(raw, c) {
 		m.stats.bad(err)
 		_ = n.Close() // refused
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -35,6 +35,36 @@
 	Want int `msgpack:"want"`
 }
 
+// Ask of version 2 of io/peer.Protocol.
+type Ask2 struct {
+	// Servers by number.
+	Avoid []int `msgpack:"avoid"`
+
+	// Priority class by number, see Names; 0: empty.
+	Class int `msgpack:"class"`
+
+	// Remaining time in microseconds.
+	Deadline int `msgpack:"deadline"`
+
+	// Fingerprint corresponds to the JSON schema field "fingerprint".
+	Fingerprint int `msgpack:"fingerprint"`
+
+	// Group by number, see Names; 0: empty.
+	Group int `msgpack:"group"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id int `msgpack:"id"`
+
+	// Organisation by number, see Names; 0: empty.
+	Organisation int `msgpack:"organisation"`
+
+	// Suspect corresponds to the JSON schema field "suspect".
+	Suspect bool `msgpack:"suspect"`
+
+	// Preferred server by number, see Names; 0: empty.
+	Want int `msgpack:"want"`
+}
+
 // Requests that a claim writer claim a call.
 type ClaimAsk struct {
 	// Body corresponds to the JSON schema field "body".
@@ -386,8 +416,9 @@
 
 // Messages between nodes. They are encoded as msgpack arrays with the fields in
 // the order of their names, so any change of a message needs a new protocol
-// version: io/peer.Protocol, or PlacementProtocol for those whose names begin with
-// Place, Mirror or Crash.
+// version: io/peer.Protocol, with the message of the version before beside it
+// (Ask2), or PlacementProtocol for those whose names begin with Place, Mirror or
+// Crash.
 type MessagesSchemaJson map[string]interface{}
 
 // Tables that are newer than the requester's.
