--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -8,6 +8,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -66,6 +67,7 @@
 	// Listen opens listeners; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
 
+	protocol        int // of the messages between nodes; 0 means peer.PlacementProtocol
 	store           platform.Store
 	cache           relay.Cache
 	roster          roster.Roster
@@ -135,7 +137,7 @@
 	s := n.Settings
 	b := make([]byte, 8)
 	_, _ = rand.Read(b) // never fails
-	n.self = roster.Node{Name: s.Node, Peer: s.Peer, Domain: s.Domain, Region: s.Region, CPU: s.CPU, Incarnation: hex.EncodeToString(b), Protocol: peer.PlacementProtocol}
+	n.self = roster.Node{Name: s.Node, Peer: s.Peer, Domain: s.Domain, Region: s.Region, CPU: s.CPU, Incarnation: hex.EncodeToString(b), Protocol: cmp.Or(n.protocol, peer.PlacementProtocol)}
 	if n.Dial == nil {
 		n.Dial = exchange.Dial
 	}
@@ -162,7 +164,7 @@
 	n.tableFollower.core = fanout.Follower{Self: s.Peer, Now: time.Now}
 	n.tableFollower.outages.Self = s.Peer
 	n.tableCache = tableCache{
-		settings: s, store: &n.store, cache: &n.cache, roster: &n.roster, log: n.Log,
+		settings: s, protocol: n.self.Protocol, store: &n.store, cache: &n.cache, roster: &n.roster, log: n.Log,
 		onConfirm: n.tableFollower.onConfirm, onResponse: n.tableFollower.onStoreResponse, onFailure: n.tableFollower.onStoreFailure,
 		onServer: n.onServerEntry,
 	}
--- a/io/edge/recovery_test.go
+++ b/io/edge/recovery_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotspring/io/peer"
 	"bergamotspring/io/standin"
 	platformstandin "bergamotspring/platform/standin"
 )
@@ -209,6 +210,42 @@
 	})
 }
 
+// Nodes are replaced one by one by those of a build whose messages are others. Callers of the nodes at work are
+// served all the time, each build has its own coordinators, and all nodes follow the configuration.
+func TestUpdateNodeByNode(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		names := []string{"a1", "a2", "b1", "c1"}
+		protocols := map[string]int{}
+		w.protocol = peer.PlacementProtocol + 1
+		for i, name := range names {
+			protocols[name] = w.protocol
+			stopped := w.nodes[name]
+			stopped.stop()
+			for k := range 40 { // it ends after 8 s at most
+				n := names[(i+1+k%3)%len(names)]
+				if r := w.stream(n, "/draft/x", fmt.Sprint("d", i, k)); r.status != 200 || r.body != fullStream(6) {
+					t.Errorf("%d nodes replaced, stream at %s: got %d %v, want the whole stream", i, n, r.status, r.err)
+				}
+				if r := w.request(n, http.MethodGet, "/read/x", fmt.Sprint("r", i, k)); r.status != 200 {
+					t.Errorf("%d nodes replaced, read at %s: got %d %v, want 200", i, n, r.status, r.err)
+				}
+			}
+			w.restart(name)
+			w.configure(i+2, nil)
+			time.Sleep(configApply)
+			for _, n := range names {
+				x := w.nodes[n].node
+				if got := x.cache.View().Config.Version; got != int64(i+2) {
+					t.Errorf("%s: got version %d, want %d", n, got, i+2)
+				}
+				if l := x.roster.Coordinators(x.self.Region); len(l) == 0 || protocols[l[0].Name] != protocols[n] {
+					t.Errorf("%s: got coordinators %v, want those of its own build", n, l)
+				}
+			}
+		}
+	})
+}
+
 // A failure domain loses power while its model server streams: the streams of callers elsewhere are
 // resumed, without a token twice or missing, and requests that come later are served without the domain,
 // though the store still lists its servers.
--- a/io/edge/tablecache.go
+++ b/io/edge/tablecache.go
@@ -27,6 +27,7 @@
 // tableCache holds the node's copies of the store's tables and applies their rows to its caches.
 type tableCache struct {
 	settings *platform.Settings
+	protocol int // of the nodes that this one exchanges messages with
 	store    *platform.Store
 	cache    *relay.Cache
 	roster   *roster.Roster
@@ -192,7 +193,7 @@
 			b.log.Warn("node_entry_unreadable", zap.Error(err))
 			continue
 		}
-		if n.Protocol != peer.PlacementProtocol {
+		if n.Protocol != b.protocol {
 			continue // of another build: it cannot be reached, and its own build removes it
 		}
 		l = append(l, n)
--- a/io/edge/testfleet_test.go
+++ b/io/edge/testfleet_test.go
@@ -45,6 +45,7 @@
 	httpServers []*http.Server
 	serving     sync.WaitGroup
 	log         *logLines
+	protocol    int // of the nodes that are started from now on; 0: of this build
 }
 
 // testNode is a running node.
@@ -240,7 +241,7 @@
 	log := newLogger(zapcore.AddSync(w.log))
 	ctx, stop := context.WithCancel(context.Background())
 	r := &testNode{stop: stop, done: make(chan error, 1)}
-	r.node = &Node{Settings: s, Log: log.With(zap.String("node", name)), Dial: r.dial(w.net.Dialer(ip)), Listen: func(_, address string) (net.Listener, error) {
+	r.node = &Node{protocol: w.protocol, Settings: s, Log: log.With(zap.String("node", name)), Dial: r.dial(w.net.Dialer(ip)), Listen: func(_, address string) (net.Listener, error) {
 		l, err := w.net.Listen(address)
 		if err == nil {
 			r.mu.Lock()
