--- a/io/edge/recovery_test.go
+++ b/io/edge/recovery_test.go
@@ -211,7 +211,8 @@
 }
 
 // Nodes are replaced one by one by those of a build whose messages are others. Callers of the nodes at work are
-// served all the time, each build has its own coordinators, and all nodes follow the configuration.
+// served all the time, each build has its own coordinators, all nodes follow the configuration, and each keeps
+// to its share of what the platform allows all of them.
 func TestUpdateNodeByNode(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		names := []string{"a1", "a2", "b1", "c1"}
@@ -241,6 +242,9 @@
 				if l := x.roster.Coordinators(x.self.Region); len(l) == 0 || protocols[l[0].Name] != protocols[n] {
 					t.Errorf("%s: got coordinators %v, want those of its own build", n, l)
 				}
+				if got, want := x.nodeShare(), 1.0/float64(len(names)+spareNodes); got != want {
+					t.Errorf("%s: got a share of %.3f of the bounds for all nodes, want %.3f", n, got, want)
+				}
 			}
 		}
 	})
--- a/io/edge/shares.go
+++ b/io/edge/shares.go
@@ -64,8 +64,10 @@
 }
 
 // nodeShare is the part of the retry slack for requests, and of the connections to a server, that
-// one node may use.
-func (n *Node) nodeShare() float64 { return 1 / float64(len(n.roster.All())+spareNodes) }
+// one node may use. Nodes of other builds have a share too.
+func (n *Node) nodeShare() float64 {
+	return 1 / float64(len(n.roster.All())+int(n.tableCache.otherBuilds.Load())+spareNodes)
+}
 
 // maxConnections returns how many of the connections to a server this node may open; 0: no limit
 // is set.
--- a/io/edge/tablecache.go
+++ b/io/edge/tablecache.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,6 +41,7 @@
 	// onServer is called after the new or changed entry of a server was cached.
 	onServer func(*relay.Server)
 
+	otherBuilds              atomic.Int64 // registered nodes that this one does not exchange messages with
 	reading                  readSwitch
 	operator, servers, nodes *tableWatch
 }
@@ -186,7 +188,7 @@
 }
 
 func (b *tableCache) onNodeRows(rows map[string]replica.Row, _ []string) {
-	l := make([]roster.Node, 0, len(rows))
+	l, others := make([]roster.Node, 0, len(rows)), int64(0)
 	for _, r := range rows {
 		n, err := platform.DecodeNode(r.Row)
 		if err != nil {
@@ -194,9 +196,11 @@
 			continue
 		}
 		if n.Protocol != b.protocol {
+			others++
 			continue // of another build: it cannot be reached, and its own build removes it
 		}
 		l = append(l, n)
 	}
+	b.otherBuilds.Store(others)
 	b.roster.Replace(l)
 }
