io/peer: shorter tests of the previous version

Frames, permits and refusals that are checked are the same.

Each test was seen to fail once more for its part of the code, taken out by itself: without onlyCurrent TestPlacementRefusesPreviousVersion; without toPrevious, and without the second dial, TestDialPreviousVersion; without decodePreviousAsk, and with a hello that takes only Protocol, TestAcceptPreviousVersion. With the code as it is all pass, three times with the race detector.

--- a/io/peer/version_test.go
+++ b/io/peer/version_test.go
@@ -12,6 +12,7 @@
 
 	"bergamotspring/core/fleet"
 	"bergamotspring/core/limit"
+	"bergamotspring/core/member"
 	"bergamotspring/schema/wire"
 )
 
@@ -32,42 +33,49 @@
 	permit2 = limit.Permit{
 		ID: 9, Epoch: 2, RequestID: 7, Group: request2.Group, Server: "s", Address: "a:1", SendBy: time.Second, HoldUntil: 4 * time.Second,
 	}
-	summary2 = limit.Summary{Free: 3}
 )
 
-// node2 speaks as a node of dafc766: it takes only its own version in the hello.
+// node2 is a connection of a node of dafc766, which takes only its own version in the hello.
 type node2 struct {
-	*testing.T
+	pairCase
 	mesh *Mesh // for its identity and key
 	net  net.Conn
 	in   *bufio.Reader
 }
 
-func newNode2(t *testing.T, m *Mesh, n net.Conn) *node2 {
-	return &node2{T: t, mesh: m, net: n, in: bufio.NewReader(n)}
+func (c pairCase) node2(n net.Conn) *node2 {
+	return &node2{pairCase: c, mesh: newMesh(c.net, "old"), net: n, in: bufio.NewReader(n)}
 }
 
-func (n *node2) hello() *wire.Hello {
-	return &wire.Hello{Protocol: 2, Node: "old", Incarnation: "1", Nonce: "0123456789abcdef"}
+// dialB dials b.
+func (c pairCase) dialB() (*node2, error) {
+	k, err := c.net.Dial(c.Context(), "old", "b:1")
+	if err != nil {
+		c.Fatal(err)
+	}
+	n := c.node2(k)
+	_, err = n.mesh.dialHello(k, n.in, 2)
+	return n, err
 }
 
-// dial returns false if the other node refuses version 2.
-func (n *node2) dial() bool {
-	mine := n.hello()
-	n.mesh.writeHello(n.net, TypeHello, mine)
-	var peer wire.Hello
-	if err := n.mesh.readHello(n.in, TypeHello, &peer); err != nil || peer.Protocol != 2 {
-		return false
+// accept listens at old:1, and calls f for each connection whose hello is of version 2.
+func (c pairCase) accept(f func(*node2)) net.Listener {
+	l, err := c.net.Listen("old:1")
+	if err != nil {
+		c.Fatal(err)
 	}
-	if peer.Mac != mac(n.mesh.Key, "acceptor", mine, &peer) {
-		n.Error("wrong proof of the acceptor")
-	}
-	n.mesh.writeHello(n.net, TypeProof, &wire.Proof{Mac: mac(n.mesh.Key, "dialler", mine, &peer)})
-	return true
+	go func() {
+		for k, err := l.Accept(); err == nil; k, err = l.Accept() {
+			if n := c.node2(k); n.acceptHello() {
+				f(n)
+			}
+		}
+	}()
+	return l
 }
 
-// accept returns false if it refuses the version of the other node.
-func (n *node2) accept() bool {
+// acceptHello returns false if it refuses the version of the other node.
+func (n *node2) acceptHello() bool {
 	var peer wire.Hello
 	if err := n.mesh.readHello(n.in, TypeHello, &peer); err != nil {
 		n.Errorf("hello: %v", err)
@@ -77,7 +85,7 @@
 		n.net.Close()
 		return false
 	}
-	mine := n.hello()
+	mine := n.mesh.newHello(2)
 	mine.Mac = mac(n.mesh.Key, "acceptor", &peer, mine)
 	n.mesh.writeHello(n.net, TypeHello, mine)
 	var p wire.Proof
@@ -107,32 +115,17 @@
 // updated: this one dials.
 func TestDialPreviousVersion(t *testing.T) {
 	withPair(t, Handlers{}, func(c pairCase) {
-		l, err := c.net.Listen("old:1")
-		if err != nil {
-			c.Fatal(err)
-		}
-		defer l.Close()
-		go func() {
-			for range 2 { // it is refused with its own version
-				k, err := l.Accept()
-				if err != nil {
-					return
-				}
-				if n := newNode2(c.T, newMesh(c.net, "old"), k); n.accept() {
-					n.expect(namesOfAsk2 + ask2)
-					n.send(namesOfGrant2 + grant2)
-					n.expect(secondOf(ask2))
-					n.send(secondOf(grant2))
-				}
-			}
-		}()
+		defer c.accept(func(n *node2) {
+			n.expect(namesOfAsk2 + ask2)
+			n.send(namesOfGrant2 + grant2)
+			n.expect(secondOf(ask2))
+			n.send(secondOf(grant2))
+		}).Close()
 		a := request2
 		a.Prefix = 11
 		for range 2 { // queued while the link is dialled, and on the open link
 			got := make(chan limit.Decision, 1)
-			to := c.to
-			to.Peer = "old:1"
-			err := c.a.RequestPermit(to, a, 5*time.Second, func(d limit.Decision, _ limit.Summary) { got <- d })
+			err := c.a.RequestPermit(member.Node{Peer: "old:1"}, a, 5*time.Second, func(d limit.Decision, _ limit.Summary) { got <- d })
 			if err != nil {
 				c.Fatal(err)
 			}
@@ -148,18 +141,13 @@
 	var got []limit.Request
 	h := Handlers{Request: func(a limit.Request, respond func(limit.Decision, limit.Summary) error) {
 		got = append(got, a)
-		respond(limit.Decision{Request: a, Permit: permit2}, summary2)
+		respond(limit.Decision{Request: a, Permit: permit2}, limit.Summary{Free: 3})
 	}}
 	withPair(t, h, func(c pairCase) {
-		k, err := c.net.Dial(c.Context(), "old", "b:1")
+		n, err := c.dialB()
 		if err != nil {
 			c.Fatal(err)
 		}
-		defer k.Close()
-		n := newNode2(c.T, newMesh(c.net, "old"), k)
-		if !n.dial() {
-			c.Fatal("version 2 is refused")
-		}
 		n.send(namesOfAsk2 + ask2)
 		n.expect(namesOfGrant2 + grant2)
 		n.send(secondOf(ask2))
@@ -177,34 +165,17 @@
 func TestPlacementRefusesPreviousVersion(t *testing.T) {
 	withPair(t, Handlers{}, func(c pairCase) {
 		PlacementHandlers{}.Register(c.b)
-		k, err := c.net.Dial(c.Context(), "old", "b:1")
-		if err != nil {
-			c.Fatal(err)
-		}
-		defer k.Close()
-		if newNode2(c.T, newMesh(c.net, "old"), k).dial() {
-			c.Error("version 2 is accepted")
+		_, accepted := c.dialB()
+		defer c.accept(func(*node2) { c.Error("version 2 is offered") }).Close()
+		ctx, cancel := context.WithTimeout(c.Context(), 5*time.Second)
+		defer cancel()
+		for _, err := range []error{accepted, c.b.Call(ctx, "old:1", TypeHeldQuery, &wire.HeldQuery{}, TypeHeldReport, &wire.HeldReport{})} {
+			if e, ok := errors.AsType[*RemoteError](err); !ok || e.Code != CodeVersion {
+				c.Errorf("got %v, want a refusal of the version", err)
+			}
 		}
 		if got := c.b.Stats().BadVersions; got != 1 {
 			c.Errorf("bad versions: got %d, want 1", got)
 		}
-		l, err := c.net.Listen("old:1")
-		if err != nil {
-			c.Fatal(err)
-		}
-		defer l.Close()
-		go func() {
-			for k, err := l.Accept(); err == nil; k, err = l.Accept() {
-				if newNode2(c.T, newMesh(c.net, "old"), k).accept() {
-					c.Error("version 2 is offered")
-				}
-			}
-		}()
-		ctx, cancel := context.WithTimeout(c.Context(), 5*time.Second)
-		defer cancel()
-		err = c.b.Call(ctx, "old:1", TypeHeldQuery, &wire.HeldQuery{}, TypeHeldReport, &wire.HeldReport{})
-		if e, ok := errors.AsType[*RemoteError](err); !ok || e.Code != CodeVersion {
-			c.Errorf("got %v, want a refusal of the version", err)
-		}
 	})
 }
