io/caller: fault tests share how they compare streams, releases and cancelled calls

fault_test.go had 419 lines, and compared the same things in three to five places each. wantStream, wantReleases and wantOneCancel do now: 391 lines. TestBudgets checks core/stage only, and stands there now, as it was.

What each test checks, before and after: - TestStreamSurvivesFaults: its nine faults; text, last event, releases, outcome and tokens. wantStream also expects no error of the connection, which is more than before; so in TestSilentConnection and TestDrain (eight streams). - TestHedge, TestDisconnectFromLongStream: one release, abandoned. TestCrashingRequest: two, crashed. TestNonIdempotentSurvivesDisconnect (input_test.go): one, refused. - TestSlowReader, TestCallerDisconnects: one cancelled call, after synctest.Wait. - TestErrorAfterBrokenStream: 1, 2 and maxStreams error responses, now as subtests; tokens, last event and no error. - TestOutcomes (12 cases), TestClaims (6), TestHolderMoveAndPanic: unchanged. - TestBudgets: both quantile sums, and both quantiles of measured times.

--- a/core/stage/stage_test.go
+++ b/core/stage/stage_test.go
@@ -70,3 +70,29 @@
 		}
 	}
 }
+
+// Checks the stage budgets, which are no fixed shares of the deadline, the rule that
+// refuses a request without enough time, and the quantiles of measured times.
+func TestBudgets(t *testing.T) {
+	q := func(ms int) stage.Quantiles {
+		d := time.Duration(ms) * time.Millisecond
+		return stage.Quantiles{P50: d, P95: 2 * d, P99: 3 * d}
+	}
+	if got, want := stage.Budget(time.Second, []stage.Quantiles{q(10), q(30)}), 250*time.Millisecond; got != want {
+		t.Errorf("budget = %v, want %v", got, want)
+	}
+	if stage.CanFinish(39*time.Millisecond, []stage.Quantiles{q(10), q(30)}) {
+		t.Error("39 ms count as enough for 40 ms of work")
+	}
+	var m stage.Times
+	at := time.Unix(0, 0)
+	for i := range 100 {
+		m.Record(at, time.Duration(i)*time.Millisecond)
+	}
+	if got := m.Quantiles(at, time.Second); got.P50 < 48*time.Millisecond || got.P50 > 52*time.Millisecond {
+		t.Errorf("p50 = %v, want about 50 ms", got.P50)
+	}
+	if got := m.Quantiles(at.Add(2*time.Minute), time.Second); got.P50 != time.Second {
+		t.Errorf("p50 after two minutes = %v, want the declared time", got.P50)
+	}
+}
--- a/io/caller/fault_test.go
+++ b/io/caller/fault_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -12,7 +14,6 @@
 	"bergamotspring/core/claim"
 	"bergamotspring/core/limit"
 	"bergamotspring/core/outcome"
-	"bergamotspring/core/stage"
 	"bergamotspring/io/standin"
 )
 
@@ -36,16 +37,36 @@
 	}
 }
 
-// results returns the results of all releases except limit.Good.
-func (w *fixture) results() (rs []limit.Result) {
+// wantReleases compares the results of all releases, without those that are limit.Good.
+func (w *fixture) wantReleases(want ...limit.Result) {
+	w.t.Helper()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	var got []limit.Result
 	for _, r := range w.released {
-		if r.Result != limit.Good {
-			rs = append(rs, r.Result)
-		}
+		got = append(got, r.Result)
+	}
+	isGood := func(r limit.Result) bool { return r == limit.Good }
+	if got, want := slices.DeleteFunc(got, isGood), slices.DeleteFunc(want, isGood); !slices.Equal(got, want) {
+		w.t.Errorf("releases = %v, want %v", got, want)
+	}
+}
+
+// wantStream compares a stream with the first tokens of the response to "why", and its last event.
+func (w *fixture) wantStream(got result, tokens int, last string) {
+	w.t.Helper()
+	if want := standin.Text("why", tokens); got.text != want || got.last != last || got.err != nil {
+		w.t.Errorf("stream = %+v, want %q and %s", got, want, last)
+	}
+}
+
+// wantOneCancel waits until all goroutines are blocked, and expects one cancelled call at the model servers.
+func (w *fixture) wantOneCancel() {
+	w.t.Helper()
+	synctest.Wait()
+	if got := w.engines[0].Cancels() + w.engines[1].Cancels(); got != 1 {
+		w.t.Errorf("cancelled calls = %d, want 1", got)
 	}
-	return rs
 }
 
 // Guards against a stream that fails because of a fault of one model server, or that
@@ -69,12 +90,8 @@
 			f := once[standin.Completion](c.fault)
 			w.engines[0].Fault, w.engines[1].Fault = f, f
 			got := w.sse("pipelines/say", `"why"`)
-			if want := standin.Text("why", 20); got.text != want || got.last != "done" {
-				t.Errorf("stream = %+v, want %q", got, want)
-			}
-			if r := w.results(); c.want == limit.Good && len(r) != 0 || c.want != limit.Good && (len(r) != 1 || r[0] != c.want) {
-				t.Errorf("releases = %v, want %v", r, c.want)
-			}
+			w.wantStream(got, 20, "done")
+			w.wantReleases(c.want)
 			if s := <-w.traces; s.Outcome != outcome.OK || s.Stages[0].Tokens != 20 {
 				t.Errorf("trace = %+v", s)
 			}
@@ -92,9 +109,7 @@
 			w.net.Silence(standin.To("llm2"))
 		}()
 		got := w.sse("pipelines/say", `"why"`)
-		if want := standin.Text("why", 20); got.text != want || got.last != "done" {
-			t.Errorf("stream = %+v, want %q", got, want)
-		}
+		w.wantStream(got, 20, "done")
 	})(t)
 }
 
@@ -115,9 +130,7 @@
 		if st := s.Stages[0]; st.Hedges != 1 || st.Retries != 0 || len(st.Attempts) != 2 {
 			t.Errorf("stage = %+v, want one hedge", st)
 		}
-		if r := w.results(); len(r) != 1 || r[0] != limit.Abandoned {
-			t.Errorf("releases = %v, want one abandoned", r)
-		}
+		w.wantReleases(limit.Abandoned)
 	})(t)
 }
 
@@ -142,10 +155,7 @@
 		if s := <-w.traces; s.Outcome != outcome.SlowReader || s.Total > 2*time.Second {
 			t.Errorf("outcome = %v after %v, want slow_reader", s.Outcome, s.Total)
 		}
-		synctest.Wait()
-		if got := w.engines[0].Cancels() + w.engines[1].Cancels(); got != 1 {
-			t.Errorf("cancelled calls = %d, want 1", got)
-		}
+		w.wantOneCancel()
 	})(t)
 }
 
@@ -159,10 +169,7 @@
 		if s.Outcome != outcome.Cancelled || s.Total > 200*time.Millisecond {
 			t.Errorf("outcome = %v after %v, want cancelled", s.Outcome, s.Total)
 		}
-		synctest.Wait()
-		if got := w.engines[0].Cancels() + w.engines[1].Cancels(); got != 1 {
-			t.Errorf("cancelled calls = %d, want 1", got)
-		}
+		w.wantOneCancel()
 	})(t)
 }
 
@@ -178,9 +185,7 @@
 			t.Errorf("outcome = %v after %v, want cancelled when the caller left", s.Outcome, s.Total)
 		}
 		synctest.Wait()
-		if got := w.results(); len(got) != 1 || got[0] != limit.Abandoned {
-			t.Errorf("releases = %v, want %v", got, limit.Abandoned)
-		}
+		w.wantReleases(limit.Abandoned)
 	})(t)
 }
 
@@ -203,9 +208,7 @@
 		}
 		<-done
 		for range 8 {
-			if got, want := <-streams, standin.Text("why", 20); got.text != want || got.last != "done" {
-				t.Errorf("stream = %+v, want %q", got, want)
-			}
+			w.wantStream(<-streams, 20, "done")
 		}
 	})(t)
 }
@@ -357,43 +360,15 @@
 		if len(exclusive) != 2 || exclusive[0] || !exclusive[1] {
 			t.Errorf("exclusive permit requests = %v, want false, true", exclusive)
 		}
-		if r := w.results(); len(r) != 2 || r[0] != limit.Crashed || r[1] != limit.Crashed {
-			t.Errorf("releases = %v, want two crashed", r)
-		}
+		w.wantReleases(limit.Crashed, limit.Crashed)
 	})(t)
 }
 
-// Checks the stage budgets, which are no fixed shares of the deadline, the rule that
-// refuses a request without enough time, and the quantiles of measured times.
-func TestBudgets(t *testing.T) {
-	q := func(ms int) stage.Quantiles {
-		d := time.Duration(ms) * time.Millisecond
-		return stage.Quantiles{P50: d, P95: 2 * d, P99: 3 * d}
-	}
-	if got, want := stage.Budget(time.Second, []stage.Quantiles{q(10), q(30)}), 250*time.Millisecond; got != want {
-		t.Errorf("budget = %v, want %v", got, want)
-	}
-	if stage.CanFinish(39*time.Millisecond, []stage.Quantiles{q(10), q(30)}) {
-		t.Error("39 ms count as enough for 40 ms of work")
-	}
-	var m stage.Times
-	at := time.Unix(0, 0)
-	for i := range 100 {
-		m.Record(at, time.Duration(i)*time.Millisecond)
-	}
-	if got := m.Quantiles(at, time.Second); got.P50 < 48*time.Millisecond || got.P50 > 52*time.Millisecond {
-		t.Errorf("p50 = %v, want about 50 ms", got.P50)
-	}
-	if got := m.Quantiles(at.Add(2*time.Minute), time.Second); got.P50 != time.Second {
-		t.Errorf("p50 after two minutes = %v, want the declared time", got.P50)
-	}
-}
-
 // The next server of a stream that broke off answers with an error: its text does not reach the caller, whose stream
 // goes on at another server, or ends with an error event if there is none.
 func TestErrorAfterBrokenStream(t *testing.T) {
 	for _, errorResponses := range []int{1, 2, maxStreams} {
-		withFixture(func(t *testing.T, w *fixture) {
+		t.Run(strconv.Itoa(errorResponses), withFixture(func(t *testing.T, w *fixture) {
 			calls := 0
 			f := func(standin.Completion) standin.Fault {
 				calls++
@@ -410,10 +385,7 @@
 			if errorResponses == maxStreams {
 				tokens, last = 7, "error"
 			}
-			got := w.sse("pipelines/say", `"why"`)
-			if got.text != standin.Text("why", tokens) || got.last != last || got.err != nil {
-				t.Errorf("%d error responses: stream = %+v, want %d tokens and %s", errorResponses, got, tokens, last)
-			}
-		})(t)
+			w.wantStream(w.sse("pipelines/say", `"why"`), tokens, last)
+		}))
 	}
 }
--- a/io/caller/input_test.go
+++ b/io/caller/input_test.go
@@ -122,9 +122,7 @@
 		if runs != 1 || !ran {
 			t.Errorf("runs = %d, recorded %v, want 1 and true", runs, ran)
 		}
-		if r := w.results(); len(r) != 1 || r[0] != limit.Refused {
-			t.Errorf("releases = %v, want one refused", r)
-		}
+		w.wantReleases(limit.Refused)
 	})(t)
 }
 
