io/edge: tests share how they check for a response with 200 and for a whole stream

Each check is still there, with the same requests, statuses and bodies: - faults_test.go: TestCoordinatorKilled, TestCoordinatorKilledBetweenStages, TestCoordinatorStops, TestCopiedStageResponse, TestStageServerCrashes, TestRejectedByModelServer, TestCrashingRequest, TestSilentConnections. - holdoff_test.go: TestHoldOff (each value of Retry-After), TestModelServerHoldOff, TestStageServerHoldOff. - http10_test.go: TestBrokenResponseOverHTTP10 (the whole stream). joinedstreams_test.go: TestServerIgnoresLastEvent, TestResponseInsideStream (each framing). - recovery_test.go: TestAllNodesCrash (2), TestReusedAddress (3), TestOtherBuild, TestUpdateNodeByNode (2), TestDomainLostWhileStreaming (2), TestOneWayCuts (2). - session_test.go: TestNoFaults, TestConfigurationThroughPeers, TestUnreadableEntries. stop_test.go: TestReadiness. wantStream also expects that the connection did not break, which some places did not look at, and both print status, error, body and time.

With an expected stream that lacks its first event, those that were tried fail: TestNoFaults, TestOtherBuild, TestUpdateNodeByNode, TestDomainLostWhileStreaming.

--- a/io/edge/faults_test.go
+++ b/io/edge/faults_test.go
@@ -28,9 +28,7 @@
 		w.kill("a1")
 		g.Wait()
 		for i, r := range got {
-			if r.status != 200 || r.body != fullStream(6) {
-				t.Errorf("request %d: got %d %v %q", i, r.status, r.err, r.body)
-			}
+			w.wantStream(r, "request %d", i)
 		}
 		if n := len(w.log.matching("home_silent")); n == 0 {
 			t.Error("no line reports the lost coordinator")
@@ -45,9 +43,7 @@
 		var g sync.WaitGroup
 		for i := range 4 {
 			g.Go(func() {
-				if r := w.stream([]string{"a2", "b1"}[i%2], "/draft/x", fmt.Sprint("k", i)); r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("request %d: got %d %v %q", i, r.status, r.err, r.body)
-				}
+				w.wantStream(w.stream([]string{"a2", "b1"}[i%2], "/draft/x", fmt.Sprint("k", i)), "request %d", i)
 			})
 		}
 		time.Sleep(350 * time.Millisecond) // the first stage is done, the second is not
@@ -75,9 +71,7 @@
 		at := time.Now()
 		g.Wait()
 		for i, r := range got {
-			if r.status != 200 || r.body != fullStream(6) {
-				t.Errorf("request %d: got %d %v %q", i, r.status, r.err, r.body)
-			}
+			w.wantStream(r, "request %d", i)
 		}
 		if w.results.NoCapacity > 0 {
 			t.Errorf("%d tasks found no capacity", w.results.NoCapacity)
@@ -118,9 +112,7 @@
 			}
 			g.Wait()
 			for i, r := range got {
-				if r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("%s, request %d: got %d %v %q", service, i, r.status, r.err, r.body)
-				}
+				w.wantStream(r, "%s, request %d", service, i)
 			}
 			if l := w.results.ForeignInputs; len(l) > 0 {
 				t.Errorf("%s: inputs of other requests: %v", service, l)
@@ -145,9 +137,7 @@
 		w.net.SetHost("10.1.0.2", standin.HostRefuses)
 		g.Wait()
 		for i, r := range got {
-			if r.status != 200 || r.body != fullStream(6) {
-				t.Errorf("request %d: got %d %v", i, r.status, r.err)
-			}
+			w.wantStream(r, "request %d", i)
 		}
 	})
 }
@@ -209,9 +199,7 @@
 func TestRejectedByModelServer(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		w.injectFault(platformstandin.FaultReject)
-		if r := w.stream("a1", "/once/x", "rej"); r.status != 200 || r.body != fullStream(6) {
-			t.Errorf("got %d %v %q", r.status, r.err, r.body)
-		}
+		w.wantStream(w.stream("a1", "/once/x", "rej"), "stream")
 		for task, n := range w.results.Executions {
 			if n != 1 {
 				t.Errorf("task %s ran %d times", task, n)
@@ -280,9 +268,7 @@
 		if r := bad("a2", "bad9"); r.status != 503 || w.runCount("bad9") != 0 {
 			t.Errorf("got %d after %d runs, want a refusal", r.status, w.runCount("bad9"))
 		}
-		if r := w.request("a2", http.MethodPost, "/file/good", "good"); r.status != 200 {
-			t.Errorf("another request: got %d, want 200", r.status)
-		}
+		w.wantOK(w.request("a2", http.MethodPost, "/file/good", "good"), "another request")
 	})
 }
 
@@ -307,9 +293,7 @@
 				if r := w.request(n, http.MethodGet, "/read/x", "r"+id, "Api-Key", "new"); r.status != 200 || r.took > time.Second {
 					t.Errorf("read %d at %s: got %d after %v", i, n, r.status, r.took)
 				}
-				if r := w.stream(n, "/draft/x", "d"+id, "Api-Key", "new"); r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("draft %d at %s: got %d %v", i, n, r.status, r.err)
-				}
+				w.wantStream(w.stream(n, "/draft/x", "d"+id, "Api-Key", "new"), "draft %d at %s", i, n)
 			}
 			if r := w.request(n, http.MethodGet, "/read/x", "old"+n); r.status != 401 {
 				t.Errorf("old key at %s: got %d, want 401", n, r.status)
--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -88,9 +88,7 @@
 			s := w.servers["plain-a"]
 			rejectFor(s, c.retryAfter)
 			get := func() {
-				if r := w.request("a1", http.MethodGet, "/read/x", fmt.Sprint(time.Now().UnixNano())); r.status != 200 {
-					t.Errorf("Retry-After %q: got %d, want 200", c.retryAfter, r.status)
-				}
+				w.wantOK(w.request("a1", http.MethodGet, "/read/x", fmt.Sprint(time.Now().UnixNano())), "Retry-After %q", c.retryAfter)
 			}
 			get()
 			rejected := time.Now()
@@ -334,9 +332,7 @@
 			t.Errorf("got %d and %d requests of another node, want 200 and 1", r.status, arrivedSince(s, rejected.Add(20*time.Millisecond)))
 		}
 		unsent := len(w.log.matching(`"send_failed"`, s.ID))
-		if r := w.stream("a2", "/draft/x", "later"); r.status != 200 {
-			t.Errorf("got %d, want 200", r.status)
-		}
+		w.wantOK(w.stream("a2", "/draft/x", "later"), "stream")
 		if got := len(w.log.matching(`"send_failed"`, s.ID)) - unsent; got != 0 {
 			t.Errorf("got %d more placements at %s, want 0", got, s.ID)
 		}
@@ -351,9 +347,7 @@
 		s := w.used("encode")
 		rejectedAt := rejectOnce(s, "3")
 		for i := range 3 {
-			if r := w.stream("a1", "/draft/x", fmt.Sprint("held", i)); r.status != 200 {
-				t.Errorf("got %d, want 200", r.status)
-			}
+			w.wantOK(w.stream("a1", "/draft/x", fmt.Sprint("held", i)), "stream")
 		}
 		rejected := rejectedAt()
 		if rejected.IsZero() || time.Since(rejected) > 2900*time.Millisecond || arrivedSince(s, rejected) != 0 {
--- a/io/edge/http10_test.go
+++ b/io/edge/http10_test.go
@@ -40,9 +40,7 @@
 // long plain response.
 func TestBrokenResponseOverHTTP10(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		if r := w.oldStream("/once/x", "whole"); r.status != 200 || r.err != nil || r.body != fullStream(6) {
-			t.Errorf("whole stream: got %d %v %q", r.status, r.err, r.body)
-		}
+		w.wantStream(w.oldStream("/once/x", "whole"), "whole stream")
 		w.raw("model", brokenAfterTwo)
 		if r := w.oldStream("/once/x", "broken"); r.err == nil {
 			t.Errorf("broken stream: got %d %q that looks whole", r.status, r.body)
--- a/io/edge/joinedstreams_test.go
+++ b/io/edge/joinedstreams_test.go
@@ -80,9 +80,7 @@
 			t.Errorf("got %d %v %q, want the events after the fourth", r.status, r.err, r.body)
 		}
 		w.raw("model", ignores)
-		if r := w.stream("a1", "/once/x", "whole", "Last-Event-Id", "4"); r.status != 200 || r.err != nil || r.body != fullStream(6) {
-			t.Errorf("not resumable: got %d %v %q, want the whole stream", r.status, r.err, r.body)
-		}
+		w.wantStream(w.stream("a1", "/once/x", "whole", "Last-Event-Id", "4"), "not resumable")
 	})
 }
 
@@ -100,9 +98,7 @@
 				}
 				runFleet(t, func(w *testFleet) {
 					w.raw("model", func(x platformstandin.Run) string { return framings(x, "200 OK", stream+other, eventStream)[framing] })
-					if r := w.stream("a1", "/draft/x", "saved"); r.status != 200 || r.err != nil || r.body != fullStream(6) {
-						t.Errorf("%s, %q: got %d %v %q", framing, stream+other, r.status, r.err, r.body)
-					}
+					w.wantStream(w.stream("a1", "/draft/x", "saved"), "%s, %q", framing, stream+other)
 				})
 			}
 		}
--- a/io/edge/recovery_test.go
+++ b/io/edge/recovery_test.go
@@ -86,12 +86,8 @@
 		}
 		time.Sleep(recoveryBound / 4)
 		for _, n := range names {
-			if r := w.request(n, http.MethodGet, "/read/x", "r"+n, "Api-Key", "new"); r.status != 200 {
-				t.Errorf("read at %s: got %d %v, want 200", n, r.status, r.err)
-			}
-			if r := w.stream(n, "/draft/x", "d"+n, "Api-Key", "new"); r.status != 200 || r.body != fullStream(6) {
-				t.Errorf("draft at %s: got %d %v, want the whole stream", n, r.status, r.err)
-			}
+			w.wantOK(w.request(n, http.MethodGet, "/read/x", "r"+n, "Api-Key", "new"), "read at %s", n)
+			w.wantStream(w.stream(n, "/draft/x", "d"+n, "Api-Key", "new"), "draft at %s", n)
 			if r := w.request(n, http.MethodGet, "/read/x", "o"+n); r.status != 401 {
 				t.Errorf("old key at %s: got %d, want 401", n, r.status)
 			}
@@ -120,15 +116,9 @@
 		for i := range 6 {
 			prompt := fmt.Sprintf("%x:800,bb:200", i) // a new prefix each time leads to another model server
 			for _, n := range []string{"a1", "c1"} {
-				if r := w.request(n, http.MethodGet, "/read/x", fmt.Sprint("r", n, i)); r.status != 200 {
-					t.Errorf("read at %s: got %d, want 200", n, r.status)
-				}
-				if r := w.request(n, http.MethodPost, "/file/x", fmt.Sprint("f", n, i)); r.status != 200 {
-					t.Errorf("file at %s: got %d, want 200", n, r.status)
-				}
-				if r := w.stream(n, "/once/x", fmt.Sprint("d", n, i), "X-Bergamotspring-Prefix-Hash", prompt); r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("draft at %s: got %d %v %q", n, r.status, r.err, r.body)
-				}
+				w.wantOK(w.request(n, http.MethodGet, "/read/x", fmt.Sprint("r", n, i)), "read at %s", n)
+				w.wantOK(w.request(n, http.MethodPost, "/file/x", fmt.Sprint("f", n, i)), "file at %s", n)
+				w.wantStream(w.stream(n, "/once/x", fmt.Sprint("d", n, i), "X-Bergamotspring-Prefix-Hash", prompt), "draft at %s", n)
 			}
 		}
 		for id, n := range before {
@@ -197,9 +187,7 @@
 		old := map[string]any{"name": "a0", "domain": "a", "region": "north", "incarnation": "1", "cpu": 8000}
 		w.store.Put("nodes", "10.0.0.99:90", old)
 		time.Sleep(time.Second)
-		if r := w.stream("a1", "/draft/x", "x"); r.status != 200 || r.body != fullStream(6) {
-			t.Errorf("got %d %v, want the whole stream", r.status, r.err)
-		}
+		w.wantStream(w.stream("a1", "/draft/x", "x"), "stream")
 		time.Sleep(40 * time.Second)
 		if got := w.store.Keys("nodes"); !slices.Contains(got, "10.0.0.99:90") {
 			t.Errorf("got registrations %q, want that of the other build too", got)
@@ -220,16 +208,11 @@
 		w.protocol = peer.PlacementProtocol + 1
 		for i, name := range names {
 			protocols[name] = w.protocol
-			stopped := w.nodes[name]
-			stopped.stop()
+			w.nodes[name].stop()
 			for k := range 40 { // it ends after 8 s at most
 				n := names[(i+1+k%3)%len(names)]
-				if r := w.stream(n, "/draft/x", fmt.Sprint("d", i, k)); r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("%d nodes replaced, stream at %s: got %d %v, want the whole stream", i, n, r.status, r.err)
-				}
-				if r := w.request(n, http.MethodGet, "/read/x", fmt.Sprint("r", i, k)); r.status != 200 {
-					t.Errorf("%d nodes replaced, read at %s: got %d %v, want 200", i, n, r.status, r.err)
-				}
+				w.wantStream(w.stream(n, "/draft/x", fmt.Sprint("d", i, k)), "%d nodes replaced, stream at %s", i, n)
+				w.wantOK(w.request(n, http.MethodGet, "/read/x", fmt.Sprint("r", i, k)), "%d nodes replaced, read at %s", i, n)
 			}
 			w.restart(name)
 			w.configure(i+2, nil)
@@ -262,9 +245,7 @@
 		for i := range 9 {
 			g.Go(func() {
 				r := w.stream([]string{"a2", "c1"}[i%2], "/draft/x", fmt.Sprint("z", i))
-				if r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("stream %d: got %d %v %q after %v, want the whole stream", i, r.status, r.err, r.body, r.took)
-				}
+				w.wantStream(r, "stream %d", i)
 			})
 		}
 		time.Sleep(1100 * time.Millisecond)
@@ -277,9 +258,7 @@
 		g.Wait()
 		time.Sleep(time.Second)
 		for i := range 4 {
-			if r := w.stream("a1", "/draft/x", fmt.Sprint("after", i)); r.status != 200 || r.body != fullStream(6) {
-				t.Errorf("without the domain: got %d %v %q after %v", r.status, r.err, r.body, r.took)
-			}
+			w.wantStream(w.stream("a1", "/draft/x", fmt.Sprint("after", i)), "without the domain")
 		}
 	})
 }
@@ -312,12 +291,8 @@
 				})
 				time.Sleep(configApply)
 				for _, n := range []string{"a1", "a2", "b1", "c1"} {
-					if r := w.request(n, http.MethodGet, "/read/x", "r"+n, "Api-Key", "new"); r.status != 200 {
-						t.Errorf("read at %s: got %d %v, want 200", n, r.status, r.err)
-					}
-					if r := w.stream(n, "/draft/x", "d"+n, "Api-Key", "new"); r.status != 200 || r.body != fullStream(6) {
-						t.Errorf("stream at %s: got %d %v after %v, want all of it", n, r.status, r.err, r.took)
-					}
+					w.wantOK(w.request(n, http.MethodGet, "/read/x", "r"+n, "Api-Key", "new"), "read at %s", n)
+					w.wantStream(w.stream(n, "/draft/x", "d"+n, "Api-Key", "new"), "stream at %s", n)
 				}
 				if len(w.log.matching(c.line)) == 0 {
 					t.Errorf("no line %s tells of the cut", c.line)
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -26,9 +26,7 @@
 		}
 		for _, n := range []string{"a1", "a2", "b1", "c1"} {
 			r := w.stream(n, "/draft/x", "d"+n)
-			if r.status != 200 || r.err != nil || r.body != fullStream(6) {
-				t.Errorf("draft at %s: got %d %v %q", n, r.status, r.err, r.body)
-			}
+			w.wantStream(r, "draft at %s", n)
 		}
 		if len(w.results.ForeignInputs) > 0 {
 			t.Errorf("inputs of other requests: %v", w.results.ForeignInputs)
@@ -287,9 +285,7 @@
 			if r := w.request(n, http.MethodGet, "/read/x", "old"+n); r.status != 401 {
 				t.Errorf("old key at %s: got %d, want 401", n, r.status)
 			}
-			if r := w.request(n, http.MethodGet, "/read/x", "new"+n, "Api-Key", "new"); r.status != 200 {
-				t.Errorf("new key at %s: got %d, want 200", n, r.status)
-			}
+			w.wantOK(w.request(n, http.MethodGet, "/read/x", "new"+n, "Api-Key", "new"), "new key at %s", n)
 		}
 		w.configure(4, nil)
 		time.Sleep(2 * time.Second)
@@ -323,9 +319,7 @@
 		w.store.Put("servers", "state", map[string]any{"service": "plain", "address": "10.1.0.99:80", "zone": "a", "state": "dancing"})
 		w.store.PutBytes("op", "config", []byte("no configuration"))
 		time.Sleep(2 * time.Second)
-		if r := w.request("a1", http.MethodGet, "/read/x", "j1"); r.status != 200 {
-			t.Errorf("got %d, want 200", r.status)
-		}
+		w.wantOK(w.request("a1", http.MethodGet, "/read/x", "j1"), "request")
 		if len(w.log.matching("server_entry_unreadable", "junk")) == 0 || len(w.log.matching("configuration_unreadable")) == 0 {
 			t.Error("unreadable entries leave no line")
 		}
--- a/io/edge/stop_test.go
+++ b/io/edge/stop_test.go
@@ -104,8 +104,6 @@
 		if got := ready("b1"); got != 503 {
 			t.Errorf("a node that stops: got %d, want 503", got)
 		}
-		if r := w.request("b1", http.MethodGet, "/read/x", "last"); r.status != 200 {
-			t.Errorf("a request to it: got %d, want 200", r.status)
-		}
+		w.wantOK(w.request("b1", http.MethodGet, "/read/x", "last"), "a request to it")
 	})
 }
--- a/io/edge/testfleet_test.go
+++ b/io/edge/testfleet_test.go
@@ -339,6 +339,22 @@
 	return response{status: a.StatusCode, close: a.Close, header: a.Header, body: string(b), err: err, took: time.Since(start)}
 }
 
+// wantOK reports a response whose status is not 200. The format and its arguments say which request it is.
+func (w *testFleet) wantOK(r response, format string, args ...any) {
+	w.t.Helper()
+	if r.status != 200 {
+		w.t.Errorf("%s: got %d %v %q after %v, want 200", fmt.Sprintf(format, args...), r.status, r.err, r.body, r.took)
+	}
+}
+
+// wantStream reports a response that is not the whole stream of a model server with six events.
+func (w *testFleet) wantStream(r response, format string, args ...any) {
+	w.t.Helper()
+	if r.status != 200 || r.err != nil || r.body != fullStream(6) {
+		w.t.Errorf("%s: got %d %v %q after %v, want the whole stream", fmt.Sprintf(format, args...), r.status, r.err, r.body, r.took)
+	}
+}
+
 // stream requests a stream with two stages.
 func (w *testFleet) stream(node, path, id string, more ...string) response {
 	return w.request(node, http.MethodPost, path, id, append(modelHeaders(id), more...)...)
