--- a/io/edge/recovery_test.go
+++ b/io/edge/recovery_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotspring/io/peer"
 	"bergamotspring/io/standin"
 	platformstandin "bergamotspring/platform/standin"
 )
@@ -85,12 +86,8 @@
 		}
 		time.Sleep(recoveryBound / 4)
 		for _, n := range names {
-			if r := w.request(n, http.MethodGet, "/read/x", "r"+n, "Api-Key", "new"); r.status != 200 {
-				t.Errorf("read at %s: got %d %v, want 200", n, r.status, r.err)
-			}
-			if r := w.stream(n, "/draft/x", "d"+n, "Api-Key", "new"); r.status != 200 || r.body != fullStream(6) {
-				t.Errorf("draft at %s: got %d %v, want the whole stream", n, r.status, r.err)
-			}
+			w.wantOK(w.request(n, http.MethodGet, "/read/x", "r"+n, "Api-Key", "new"), "read at %s", n)
+			w.wantStream(w.stream(n, "/draft/x", "d"+n, "Api-Key", "new"), "draft at %s", n)
 			if r := w.request(n, http.MethodGet, "/read/x", "o"+n); r.status != 401 {
 				t.Errorf("old key at %s: got %d, want 401", n, r.status)
 			}
@@ -119,15 +116,9 @@
 		for i := range 6 {
 			prompt := fmt.Sprintf("%x:800,bb:200", i) // a new prefix each time leads to another model server
 			for _, n := range []string{"a1", "c1"} {
-				if r := w.request(n, http.MethodGet, "/read/x", fmt.Sprint("r", n, i)); r.status != 200 {
-					t.Errorf("read at %s: got %d, want 200", n, r.status)
-				}
-				if r := w.request(n, http.MethodPost, "/file/x", fmt.Sprint("f", n, i)); r.status != 200 {
-					t.Errorf("file at %s: got %d, want 200", n, r.status)
-				}
-				if r := w.stream(n, "/once/x", fmt.Sprint("d", n, i), "X-Bergamotspring-Prefix-Hash", prompt); r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("draft at %s: got %d %v %q", n, r.status, r.err, r.body)
-				}
+				w.wantOK(w.request(n, http.MethodGet, "/read/x", fmt.Sprint("r", n, i)), "read at %s", n)
+				w.wantOK(w.request(n, http.MethodPost, "/file/x", fmt.Sprint("f", n, i)), "file at %s", n)
+				w.wantStream(w.stream(n, "/once/x", fmt.Sprint("d", n, i), "X-Bergamotspring-Prefix-Hash", prompt), "draft at %s", n)
 			}
 		}
 		for id, n := range before {
@@ -196,9 +187,7 @@
 		old := map[string]any{"name": "a0", "domain": "a", "region": "north", "incarnation": "1", "cpu": 8000}
 		w.store.Put("nodes", "10.0.0.99:90", old)
 		time.Sleep(time.Second)
-		if r := w.stream("a1", "/draft/x", "x"); r.status != 200 || r.body != fullStream(6) {
-			t.Errorf("got %d %v, want the whole stream", r.status, r.err)
-		}
+		w.wantStream(w.stream("a1", "/draft/x", "x"), "stream")
 		time.Sleep(40 * time.Second)
 		if got := w.store.Keys("nodes"); !slices.Contains(got, "10.0.0.99:90") {
 			t.Errorf("got registrations %q, want that of the other build too", got)
@@ -209,6 +198,41 @@
 	})
 }
 
+// Nodes are replaced one by one by those of a build whose messages are others. Callers of the nodes at work are
+// served all the time, each build has its own coordinators, all nodes follow the configuration, and each keeps
+// to its share of what the platform allows all of them.
+func TestUpdateNodeByNode(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		names := []string{"a1", "a2", "b1", "c1"}
+		protocols := map[string]int{}
+		w.protocol = peer.PlacementProtocol + 1
+		for i, name := range names {
+			protocols[name] = w.protocol
+			w.nodes[name].stop()
+			for k := range 40 { // it ends after 8 s at most
+				n := names[(i+1+k%3)%len(names)]
+				w.wantStream(w.stream(n, "/draft/x", fmt.Sprint("d", i, k)), "%d nodes replaced, stream at %s", i, n)
+				w.wantOK(w.request(n, http.MethodGet, "/read/x", fmt.Sprint("r", i, k)), "%d nodes replaced, read at %s", i, n)
+			}
+			w.restart(name)
+			w.configure(i+2, nil)
+			time.Sleep(configApply)
+			for _, n := range names {
+				x := w.nodes[n].node
+				if got := x.cache.View().Config.Version; got != int64(i+2) {
+					t.Errorf("%s: got version %d, want %d", n, got, i+2)
+				}
+				if l := x.roster.Coordinators(x.self.Region); len(l) == 0 || protocols[l[0].Name] != protocols[n] {
+					t.Errorf("%s: got coordinators %v, want those of its own build", n, l)
+				}
+				if got, want := x.nodeShare(), 1.0/float64(len(names)+spareNodes); got != want {
+					t.Errorf("%s: got a share of %.3f of the bounds for all nodes, want %.3f", n, got, want)
+				}
+			}
+		}
+	})
+}
+
 // A failure domain loses power while its model server streams: the streams of callers elsewhere are
 // resumed, without a token twice or missing, and requests that come later are served without the domain,
 // though the store still lists its servers.
@@ -221,9 +245,7 @@
 		for i := range 9 {
 			g.Go(func() {
 				r := w.stream([]string{"a2", "c1"}[i%2], "/draft/x", fmt.Sprint("z", i))
-				if r.status != 200 || r.body != fullStream(6) {
-					t.Errorf("stream %d: got %d %v %q after %v, want the whole stream", i, r.status, r.err, r.body, r.took)
-				}
+				w.wantStream(r, "stream %d", i)
 			})
 		}
 		time.Sleep(1100 * time.Millisecond)
@@ -236,9 +258,7 @@
 		g.Wait()
 		time.Sleep(time.Second)
 		for i := range 4 {
-			if r := w.stream("a1", "/draft/x", fmt.Sprint("after", i)); r.status != 200 || r.body != fullStream(6) {
-				t.Errorf("without the domain: got %d %v %q after %v", r.status, r.err, r.body, r.took)
-			}
+			w.wantStream(w.stream("a1", "/draft/x", fmt.Sprint("after", i)), "without the domain")
 		}
 	})
 }
@@ -271,12 +291,8 @@
 				})
 				time.Sleep(configApply)
 				for _, n := range []string{"a1", "a2", "b1", "c1"} {
-					if r := w.request(n, http.MethodGet, "/read/x", "r"+n, "Api-Key", "new"); r.status != 200 {
-						t.Errorf("read at %s: got %d %v, want 200", n, r.status, r.err)
-					}
-					if r := w.stream(n, "/draft/x", "d"+n, "Api-Key", "new"); r.status != 200 || r.body != fullStream(6) {
-						t.Errorf("stream at %s: got %d %v after %v, want all of it", n, r.status, r.err, r.took)
-					}
+					w.wantOK(w.request(n, http.MethodGet, "/read/x", "r"+n, "Api-Key", "new"), "read at %s", n)
+					w.wantStream(w.stream(n, "/draft/x", "d"+n, "Api-Key", "new"), "stream at %s", n)
 				}
 				if len(w.log.matching(c.line)) == 0 {
 					t.Errorf("no line %s tells of the cut", c.line)
--- a/io/edge/tablecache.go
+++ b/io/edge/tablecache.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,6 +28,7 @@
 // tableCache holds the node's copies of the store's tables and applies their rows to its caches.
 type tableCache struct {
 	settings *platform.Settings
+	protocol int // of the nodes that this one exchanges messages with
 	store    *platform.Store
 	cache    *relay.Cache
 	roster   *roster.Roster
@@ -39,6 +41,7 @@
 	// onServer is called after the new or changed entry of a server was cached.
 	onServer func(*relay.Server)
 
+	otherBuilds              atomic.Int64 // registered nodes that this one does not exchange messages with
 	reading                  readSwitch
 	operator, servers, nodes *tableWatch
 }
@@ -186,17 +189,19 @@
 }
 
 func (b *tableCache) onNodeRows(rows map[string]replica.Row, _ []string) {
-	l := make([]roster.Node, 0, len(rows))
+	l, others := make([]roster.Node, 0, len(rows)), int64(0)
 	for _, r := range rows {
 		n, err := platform.DecodeNode(r.Row)
 		if err != nil {
 			b.log.Warn("node_entry_unreadable", zap.Error(err))
 			continue
 		}
-		if n.Protocol != peer.PlacementProtocol {
+		if n.Protocol != b.protocol {
+			others++
 			continue // of another build: it cannot be reached, and its own build removes it
 		}
 		l = append(l, n)
 	}
+	b.otherBuilds.Store(others)
 	b.roster.Replace(l)
 }
