--- a/io/peer/version.go
+++ b/io/peer/version.go
@@ -3,6 +3,7 @@
 // This file defines what differs in the version before Protocol, so that nodes of both work together while
 // a deployment is updated node by node. A node offers its own version in the hello; if it is refused, the
 // previous one. The frames of a connection are in the version that both ends agreed on.
+// When Protocol is raised, the messages of the then previous version take the place of Ask2.
 
 import "bergamotspring/schema/wire"
 
