Handles of a stage server's next process are no copies of the last one's

Callers saw, if a stage server starts again under its id and numbers its handles anew: requests that need it take seconds more or get 503, for 10 to 20 s after the restart.

Cause: what was true of a process was taken for true of the next one. The pool remembers handles of all connections, so that a copy on another connection is known; the next process's responses have the same handles, and each was skipped as a copy, until its batch timed out.

Change: the pool remembers handles by process (id and start). A connection, which is that of one process, goes on remembering them as they are: a process may get batches before and after its start is known here.

--- a/io/edge/repeated_test.go
+++ b/io/edge/repeated_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotspring/core/placement"
+	"bergamotspring/io/standin"
 	platformstandin "bergamotspring/platform/standin"
 )
 
@@ -172,3 +173,25 @@
 		}
 	}
 }
+
+// A stage server starts again under its id and gives out the same handles as before: its responses are no copies.
+func TestHandlesOfNextProcess(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		s := w.onlyServer("encode")
+		for i := range 3 {
+			w.net.SetHost(hostOf(s.Address), standin.HostRefuses)
+			w.results.Restart(s)
+			w.net.SetHost(hostOf(s.Address), standin.HostUp)
+			s.Started = time.Now()
+			w.register(s, "encode", "b", "ready", 0)
+			time.Sleep(time.Second)
+			r := w.stream("a1", "/draft/x", fmt.Sprint("r", i))
+			if r.status != 200 || r.body != fullStream(6) || r.took > 1500*time.Millisecond {
+				t.Errorf("after %d restarts: got %d %v %q after %v", i+1, r.status, r.err, r.body, r.took)
+			}
+		}
+		if l := w.log.matching("foreign_response"); len(l) > 0 {
+			t.Errorf("got %v, want no response taken for a copy", l)
+		}
+	})
+}
--- a/io/exchange/conn.go
+++ b/io/exchange/conn.go
@@ -23,10 +23,13 @@
 	seen            ids
 }
 
-// isNew adds a mark to the known ones, and returns false if it was known. A connection knows its marks for
-// as long as it is used, the pool those of all connections for some time.
-func (c *conn) isNew(mark string) bool {
-	if c.seen.has(mark) || !c.pool.marks.add(mark, time.Now()) {
+// isNew adds the mark of a response to r to the known ones, and returns false if it was known. A connection knows its
+// marks for as long as it is used, the pool those of a process on all connections for some time.
+func (c *conn) isNew(r *Request, mark string) bool {
+	if mark == "" {
+		return true
+	}
+	if c.seen.has(mark) || !c.pool.marks.add(r.Process+" "+mark, time.Now()) {
 		return false
 	}
 	c.seen.add(mark)
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -46,7 +46,9 @@
 	// Interchangeable says that the response to an earlier such request will do if it comes once more in place of
 	// this one's. Connections of such requests carry no others, and are used again without a mark of Whole.
 	Interchangeable bool
-	Guard           Guard
+	// Process identifies the process at the address, as far as it is known. The next one may use the marks of Whole again.
+	Process string
+	Guard   Guard
 }
 
 // Response is a response whose header was read. Body ends with io.EOF only if it is
@@ -168,7 +170,7 @@
 	for n := 0; ; n++ {
 		var mark string
 		b, mark, err = readWhole(a, limit, identify)
-		if body.conn.isNew(mark) {
+		if body.conn.isNew(r, mark) {
 			r.Guard.onHead(a.StatusCode, a.Header)
 			body.reuse = (mark != "" || r.Interchangeable) && framed(a) && !a.Close
 			break
--- a/io/exchange/exchange_test.go
+++ b/io/exchange/exchange_test.go
@@ -25,6 +25,7 @@
 	pool      Pool
 	responses chan string
 	requests  chan *http.Request // that the server got
+	process   string             // Request.Process of whole
 	conns     int
 }
 
@@ -160,28 +161,34 @@
 func (s *script) whole(ctx context.Context) (string, error) { return s.wholeOf(ctx, false) }
 
 func (s *script) wholeOf(ctx context.Context, interchangeable bool) (string, error) {
-	r := &Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Interchangeable: interchangeable}
+	r := &Request{Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Interchangeable: interchangeable, Process: s.process}
 	_, b, err := s.pool.Whole(ctx, r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
 	return string(b), err
 }
 
-// A copy of a marked response is skipped, on its connection and on another one, as each mark is given out once. A
-// connection is not used after that, or after a response without a mark, of which a copy cannot be told from the
+// A copy of a marked response is skipped, on its connection and on another one, as each mark is given out once by a
+// process. A connection is not used after that, or after a response without a mark, of which a copy cannot be told from the
 // next response.
 func TestCopiedResponse(t *testing.T) {
 	run(t, func(s *script) {
 		for i, c := range []struct {
 			response, want string
 			conns          int
+			process        string
 		}{
-			{okResponse("", "m1"), "m1", 1},
-			{okResponse("", "m1") + okResponse("", "m2"), "m2", 1},
-			{okResponse("", ""), "", 2},
-			{okResponse("", "m1") + okResponse("", "m3"), "m3", 3},
-			{okResponse("", "m4"), "m4", 4},
-			{okResponse("", "m5"), "m5", 4},
+			{okResponse("", "m1"), "m1", 1, "a"},
+			{okResponse("", "m1") + okResponse("", "m2"), "m2", 1, "a"},
+			{okResponse("", ""), "", 2, "a"},
+			{okResponse("", "m1") + okResponse("", "m3"), "m3", 3, "a"},
+			{okResponse("", "m4"), "m4", 4, "a"},
+			{okResponse("", "m5"), "m5", 4, "a"},
+			{okResponse("", "m5") + okResponse("", "m6"), "m6", 4, "b"},
+			{okResponse("", "m1"), "m1", 5, "b"},
+			{okResponse("", "m1") + okResponse("", "m7"), "m7", 5, "b"},
+			{okResponse("", "m1") + okResponse("", "m8"), "m8", 6, "b"},
 		} {
 			s.responses <- c.response
+			s.process = c.process
 			if got, err := s.whole(context.Background()); got != c.want || err != nil || s.conns != c.conns {
 				t.Errorf("request %d: got %q %v on %d connections, want %q on %d", i, got, err, s.conns, c.want, c.conns)
 			}
