TestNodesKeepToResponses: entries change and go meanwhile

The test had entries that stayed as they were, without the start of a process. Now they are renewed, always as ready, half of them after they were gone for up to 2 s, some of these while up to three of four nodes do not reach the store.

With marks that end with each new entry (`same := false` in unmark) it fails: `seed 1, model-a: /draft/x of 10.0.0.1 arrived 3.362s after the server said that it was leaving`.

--- a/io/edge/leaving_test.go
+++ b/io/edge/leaving_test.go
@@ -9,10 +9,11 @@
 	platformstandin "bergamotspring/platform/standin"
 )
 
-// registerProcess writes the entry of a server's process that started at the given time.
+// registerProcess writes the entry of a server's process that started at the given time. With an odd
+// sequence it has a slot more, so that nodes take it for a change.
 func (w *testFleet) registerProcess(s *platformstandin.Server, service, domain string, startedAt, sequence int) {
 	w.store.Put("servers", s.ID, map[string]any{
-		"service": service, "address": s.Address, "zone": domain, "slots": 6, "state": "ready", "sequence": sequence, "born": startedAt,
+		"service": service, "address": s.Address, "zone": domain, "slots": 6 + sequence%2, "state": "ready", "sequence": sequence, "born": startedAt,
 	})
 }
 
--- a/io/edge/restrictions_test.go
+++ b/io/edge/restrictions_test.go
@@ -17,11 +17,15 @@
 const requestsInFlight = 20 * time.Millisecond
 
 // Under load, while servers of all kinds reject requests for a time or begin to leave, each node keeps
-// to what it was told by each of them.
+// to what it was told by each of them, whatever becomes of their entries.
 func TestNodesKeepToResponses(t *testing.T) {
 	for seed := range uint64(4) {
 		runFleet(t, func(w *testFleet) {
 			r := rand.New(rand.NewPCG(seed, 0))
+			for _, id := range serverIDs() {
+				w.renew(id, 1)
+			}
+			time.Sleep(2 * time.Second) // until the nodes know the processes
 			start := time.Now()
 			for _, n := range serverIDs() {
 				w.misbehave(w.servers[n], r.Uint64(), start)
@@ -35,6 +39,7 @@
 					w.request(node, http.MethodPost, path, fmt.Sprint(i), modelHeaders(fmt.Sprint(i))...)
 				})
 			}
+			g.Go(func() { w.changeEntries(rand.New(rand.NewPCG(seed, 2))) })
 			g.Wait()
 			held, left := 0, 0
 			for id, s := range w.servers {
@@ -48,6 +53,36 @@
 	}
 }
 
+// renew writes the entry of a server, which says that it is ready.
+func (w *testFleet) renew(id string, sequence int) {
+	kind, domain, _ := strings.Cut(id, "-")
+	w.registerProcess(w.servers[id], kind, domain, 1000, sequence)
+}
+
+// changeEntries renews entries for 8 s, half of them after they were gone for a while, and half of these while some
+// nodes do not reach the store.
+func (w *testFleet) changeEntries(r *rand.Rand) {
+	end := time.Now().Add(8 * time.Second)
+	for n := 2; time.Now().Before(end); n++ {
+		time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
+		id := serverIDs()[r.IntN(len(w.servers))]
+		if r.IntN(2) == 0 {
+			w.refuseStore(r.IntN(4))
+			w.store.Remove("servers", id)
+			time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+			w.refuseStore(0)
+		}
+		w.renew(id, n)
+	}
+}
+
+// refuseStore lets the store refuse the first n nodes, and no others.
+func (w *testFleet) refuseStore(n int) {
+	for i, name := range []string{"a1", "a2", "b1", "c1"} {
+		w.store.Refuse(w.nodes[name].node.Settings.IP, i < n)
+	}
+}
+
 func serverIDs() (l []string) {
 	for _, k := range []string{"plain", "encode", "rank", "model"} {
 		for _, d := range []string{"a", "b", "c"} {
