--- a/io/edge/holdoff_test.go
+++ b/io/edge/holdoff_test.go
@@ -83,7 +83,7 @@
 	for _, c := range []struct {
 		retryAfter string
 		held       time.Duration
-	}{{"2", 2 * time.Second}, {"0.75", 750 * time.Millisecond}, {"", 0}, {"-1", 0}, {"soon", 0}, {"NaN", 0}} {
+	}{{"2", 2 * time.Second}, {"0.75", 750 * time.Millisecond}, {"", 0}, {"0", 0}, {"-1", 0}, {"soon", 0}, {"NaN", 0}, {"Fri, 04 Dec 2026 21:00:00 GMT", 0}} {
 		runFleet(t, func(w *testFleet) {
 			s := w.servers["plain-a"]
 			rejectFor(s, c.retryAfter)
