--- a/io/edge/segments_test.go
+++ b/io/edge/segments_test.go
@@ -84,7 +84,7 @@
 
 // retryAtOnce makes requests need no stages, so that a second attempt follows the first at once.
 func (w *testFleet) retryAtOnce() {
-	w.configureRoute(2, "draft", map[string]any{"stages": []any{}})
+	w.configureRoute(3, "draft", map[string]any{"stages": []any{}})
 	time.Sleep(2 * time.Second)
 }
 
