core/suspect: search prompts of many segments in less time

Callers would see: a node that answers nobody for up to a minute, after requests whose prompts have very many segments in common were on three servers that crashed. A header of 16 KiB holds about 2,500 short ones.

Cause: for each segment, what all its requests have in common was looked up segment by segment in lists, which takes time with the cube of their length, under the lock that each request takes.

Change: recorded segments are sorted, so lists are merged.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -58,7 +58,7 @@
 	domain   string    // failure domain, empty: unknown
 	at       time.Time // first report
 	usedAt   time.Time // last resend of its culprit
-	requests []Request // in flight, without segments that were cleared
+	requests []Request // in flight, their segments sorted and without those that were cleared
 }
 
 // watcher waits for a request to become poison.
--- a/core/suspect/search.go
+++ b/core/suspect/search.go
@@ -154,10 +154,24 @@
 		if l == nil {
 			l = slices.Clone(r.Segments)
 		}
-		l = slices.DeleteFunc(l, func(o uint64) bool { return !slices.Contains(r.Segments, o) })
+		l = intersect(l, r.Segments)
 	}
-	slices.Sort(l)
-	return slices.Compact(l)
+	return l
+}
+
+// intersect returns what is in both l, which it overwrites, and o. Both are sorted.
+func intersect(l, o []uint64) []uint64 {
+	n := 0
+	for _, x := range l {
+		for len(o) > 0 && o[0] < x {
+			o = o[1:]
+		}
+		if len(o) > 0 && o[0] == x {
+			l[n] = x
+			n++
+		}
+	}
+	return l[:n]
 }
 
 // bestSegments returns the most likely culprit among segments.
--- a/core/suspect/search_test.go
+++ b/core/suspect/search_test.go
@@ -54,3 +54,22 @@
 		c.search()
 	}
 }
+
+// A search takes no longer than requests may wait for it, also if prompts have very many segments.
+func TestSearchOfLongPrompts(t *testing.T) {
+	var l []*crash
+	for i := range uint64(poisonThreshold) {
+		r := req(i)
+		for s := range uint64(1500) {
+			r.Segments = append(r.Segments, s)
+		}
+		l = append(l, &crash{server: strconv.FormatUint(i, 10), at: time.Unix(int64(i), 0), requests: []Request{r}})
+	}
+	start := time.Now()
+	if got := findCulprits(l); len(got) != 1 || len(got[0].Segments) != 1500 {
+		t.Errorf("%d culprits, want one of all segments", len(got))
+	}
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("search took %v", took)
+	}
+}
