Nodes: probe silent nodes several at a time

What callers would see: with many nodes lost, a node that is back counts as silent for longer on nodes that it has not called. A coordinator that is back is so passed over by some nodes of its region and used by others.

Cause: silent nodes are probed one after the other, in the order of their names, and each that stays silent takes 0.8 s: beside 12 of them the last name is probed after 9.6 s. Registering again and the removal of rows wait for the same loop, and a node that responded during the probes was still on the list of those whose rows are removed.

Change: eight probes at the same time; the nodes to remove are listed after the probes.

Test: TestProbeBesideSilentNodes, 12 nodes without power and one that responds: still silent after 3 s in 2 of 2 runs before, known as alive in 3 of 3 now. The removal of a row in that loop has no test. io/edge passes, and its tests of coordinators, probes and silence with -race; the linter has no findings.

--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +24,8 @@
 	probeInterval = time.Second
 	// probeTimeout bounds one probe.
 	probeTimeout = 800 * time.Millisecond
+	// maxProbes bounds the probes at the same time.
+	maxProbes = 8
 	// registrationPatience is how long a node waits for its registration before it reads the list
 	// of nodes. The list of before a restart of all nodes has their former order.
 	registrationPatience = 150 * time.Millisecond
@@ -39,10 +42,9 @@
 		if !n.registered() {
 			n.register(ctx)
 		}
-		silent, lost := n.roster.Silent(n.removeDelay())
-		for _, x := range silent {
-			n.probe(ctx, x)
-		}
+		silent, _ := n.roster.Silent(0)
+		n.probeAll(ctx, silent)
+		_, lost := n.roster.Silent(n.removeDelay())
 		n.removeLost(ctx, lost)
 		n.logCoordinator()
 		for _, v := range n.tableCache.versions() {
@@ -128,6 +130,24 @@
 	}
 }
 
+// probeAll probes silent nodes, several at the same time, as one that stays silent takes probeTimeout.
+func (n *Node) probeAll(ctx context.Context, l []roster.Node) {
+	c := make(chan roster.Node)
+	var w sync.WaitGroup
+	for range min(maxProbes, len(l)) {
+		w.Go(func() {
+			for x := range c {
+				n.probe(ctx, x)
+			}
+		})
+	}
+	for _, x := range l {
+		c <- x
+	}
+	close(c)
+	w.Wait()
+}
+
 // probe sends a request without content to a silent node. A response, or a hello from the
 // node, marks it alive.
 func (n *Node) probe(ctx context.Context, x roster.Node) {
--- a/io/edge/recovery_test.go
+++ b/io/edge/recovery_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotspring/core/roster"
 	"bergamotspring/io/standin"
 	platformstandin "bergamotspring/platform/standin"
 )
@@ -285,3 +286,25 @@
 		})
 	}
 }
+
+// A node that responds again is known to soon, though many others stay silent.
+func TestProbeBesideSilentNodes(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		for i := range 12 {
+			w.start(fmt.Sprint("a", 3+i), fmt.Sprint("10.0.1.", i))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		r, last := &w.nodes["a1"].node.roster, w.nodes["c1"].node.Settings.Peer
+		for i := range 12 {
+			w.net.SetHost(fmt.Sprint("10.0.1.", i), standin.HostGone)
+			r.MarkSilent(fmt.Sprintf("10.0.1.%d:90", i))
+		}
+		r.MarkSilent(last)
+		time.Sleep(3 * time.Second)
+		silent, _ := r.Silent(0)
+		if got := slices.ContainsFunc(silent, func(n roster.Node) bool { return n.Peer == last }); got {
+			t.Errorf("c1 counts as silent after 3 s: got %v, want false, beside %d silent nodes", got, len(silent))
+		}
+	})
+}
