Outage of the store: a node with too few witnesses waits for reports

Suspected by reading; now shown by a test.

Cause, from its log: b1 reads the store after the outage and ends it, knowing two others' failures. a1, whose tables were stale too, reads the store 0.06 s later (outage from 2.94 s, b1 at 4.491 s, a1 at 4.547 s): its calls for the servers did not fail, as it made none in the outage, and the reports of the others come in response to the search that it began at the same moment. It decided on the response of the store first, with too few witnesses. If it is the reader's replacement that does so, all nodes get its tables and drop the server.

Change: a response of the store after a gap of 1.5 s or more that no known failure explains waits 0.1 s before it is decided on and merged, so that the responses to the search are in. How many failures count is as before.

TestEndOfOutage also checks IsUnclear.

--- a/core/fanout/outage.go
+++ b/core/fanout/outage.go
@@ -90,6 +90,10 @@
 	return n >= witnesses
 }
 
+// IsUnclear reports whether a response of the store to this node came after a time without one to any node,
+// and too few failures are known for an outage.
+func (o *Outages) IsUnclear(at time.Time) bool { return o.isGap(at) && !o.EndsWith(at) }
+
 // Admits reports whether an outage can have ended at a time, as another node reports: not if the store
 // responded to nodes shortly before. That node may have been without the store alone.
 func (o *Outages) Admits(end time.Time) bool {
--- a/core/fanout/outage_test.go
+++ b/core/fanout/outage_test.go
@@ -30,6 +30,9 @@
 		if got := o.EndsWith(at(c.end)); got != c.want {
 			t.Errorf("%s: got end of an outage %v, want %v", c.name, got, c.want)
 		}
+		if got, want := o.IsUnclear(at(c.end)), !c.want && c.end >= 1500; got != want {
+			t.Errorf("%s: got unclear %v, want %v", c.name, got, want)
+		}
 	}
 }
 
--- a/io/edge/tablefollow.go
+++ b/io/edge/tablefollow.go
@@ -26,6 +26,9 @@
 	transferTimeout = 1500 * time.Millisecond
 	// newestVersion is a version after which no table has changes.
 	newestVersion = math.MaxInt64
+	// reportTime is how long a node whose search for a source has begun waits for the others' reports on
+	// the store before it takes a gap between the store's responses for the loss of a reader.
+	reportTime = 100 * time.Millisecond
 	// regainedTime is how long the end of an outage is passed on.
 	regainedTime = 10 * time.Second
 	// meshPoll is the interval at which a node without the fleet's key checks for it.
@@ -302,6 +305,12 @@
 
 // onStoreResponse takes account of a response of the store to this node, before its changes.
 func (f *tableFollower) onStoreResponse(at time.Time) {
+	f.mu.Lock()
+	unclear := f.outages.IsUnclear(at)
+	f.mu.Unlock()
+	if unclear {
+		time.Sleep(reportTime)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.outages.EndsWith(at) {
--- a/io/edge/tables_test.go
+++ b/io/edge/tables_test.go
@@ -272,6 +272,17 @@
 	runFleet(t, func(w *testFleet) { w.expireDuringOutage(2500 * time.Millisecond) })
 }
 
+// In an outage of little more than 1.5 s, a node can read the store before others have told it that their
+// calls failed.
+func TestExpiredEntryInShortOutage(t *testing.T) {
+	for i := range 80 {
+		runFleet(t, func(w *testFleet) {
+			time.Sleep(1840*time.Millisecond + time.Duration(i%16)*10*time.Millisecond)
+			w.expireDuringOutage(1500*time.Millisecond + time.Duration(i%12)*10*time.Millisecond)
+		})
+	}
+}
+
 // Of many nodes, some do not call the store before the outage has ended.
 func TestExpiredEntryOnManyNodes(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
