--- a/io/edge/tablefollow.go
+++ b/io/edge/tablefollow.go
@@ -303,7 +303,8 @@
 	f.outages.OnFailure(fanout.Failure{Peer: f.settings.Peer, At: at})
 }
 
-// onStoreResponse takes account of a response of the store to this node, before its changes.
+// onStoreResponse takes account of a response of the store to this node, before its changes. It waits for
+// reportTime if the gap before it may be an outage of the store, or only the loss of a reader.
 func (f *tableFollower) onStoreResponse(at time.Time) {
 	f.mu.Lock()
 	unclear := f.outages.IsUnclear(at)
