--- /dev/null
+++ b/review/rig/worker.go
@@ -0,0 +1,170 @@
+package main
+
+// This file defines a worker of a plain service.
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// heartbeat is how often a worker writes its entry.
+const heartbeat = 1200 * time.Millisecond
+
+// worker is a sound worker of a plain service, registered in the store. It can crash and start again.
+type worker struct {
+	rig               *rig
+	id, service, zone string
+	at                string // address
+	work              time.Duration
+	coldTime          time.Duration // after a start
+	// refuse returns the Retry-After with which a request is rejected, "" if it is not; nil: none is.
+	refuse func() string
+
+	// limit is the number of requests in a second above which a cold worker crashes; 0: none.
+	limit int
+
+	mu       sync.Mutex
+	server   *http.Server // nil: it does not run
+	born     time.Time
+	cold     bool // since its start, for coldTime
+	sequence int
+	arrivals []arrival
+}
+
+// arrival is a request that reached a worker.
+type arrival struct {
+	id  string // of the request
+	at  time.Time
+	ran bool
+}
+
+// addWorker starts a worker and registers it.
+func (r *rig) addWorker(service, zone string) (*worker, error) {
+	w := &worker{
+		rig: r, id: fmt.Sprintf("i-%s-%s-%d", service, zone, r.nextIP), service: service, zone: zone,
+		at: fmt.Sprintf("%s:%d", r.newIP(), portWorker), work: 20 * time.Millisecond,
+	}
+	if err := w.start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		for range time.Tick(heartbeat) { // until the rig ends
+			w.register()
+		}
+	}()
+	return w, nil
+}
+
+// start starts the worker's process.
+func (w *worker) start() error {
+	l, err := net.Listen("tcp", w.at)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	w.mu.Lock()
+	w.server, w.born = s, time.Now()
+	id := w.id
+	w.mu.Unlock()
+	go func() { _ = s.Serve(l) }() // until it crashes or the rig ends
+	w.rig.note("worker %s (%s) starts", id, w.zone)
+	w.register()
+	return nil
+}
+
+// crash ends the worker's process.
+func (w *worker) crash() {
+	w.mu.Lock()
+	s := w.server
+	w.server = nil
+	w.mu.Unlock()
+	if s != nil {
+		_ = s.Close() // no error matters
+		w.rig.note("worker %s (%s) crashes", w.id, w.zone)
+	}
+}
+
+// register writes the entry of the worker, if it runs.
+func (w *worker) register() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.server == nil {
+		return
+	}
+	w.sequence++
+	cold := time.Duration(0)
+	if w.cold {
+		cold = max(0, time.Until(w.born.Add(w.coldTime)))
+	}
+	w.rig.store.Put("servers", w.id, map[string]any{
+		"service": w.service, "address": w.at, "zone": w.zone, "version": "1", "slots": 6, "state": "ready",
+		"cold-left-ms": cold.Milliseconds(), "sequence": w.sequence, "born": w.born.UnixMilli(),
+	})
+}
+
+// ServeHTTP serves one request.
+func (w *worker) ServeHTTP(a http.ResponseWriter, r *http.Request) {
+	at := time.Now()
+	id := r.Header.Get("X-Bergamotspring-Request-Id")
+	a.Header().Set("X-Bergamotspring-Request-Id", id)
+	a.Header().Set("X-Bergamotspring-Instance-Id", w.id)
+	if e := r.Header.Get("X-Bergamotspring-Expect-Instance"); e != "" && e != w.id {
+		a.Header().Set("X-Bergamotspring-Not-Executed", "1")
+		a.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if w.refuse != nil {
+		if after := w.refuse(); after != "" {
+			w.arrive(arrival{id: id, at: at}, "refused with Retry-After "+after)
+			a.Header().Set("X-Bergamotspring-Not-Executed", "1")
+			a.Header().Set("Retry-After", after)
+			a.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
+	w.arrive(arrival{id: id, at: at, ran: true}, "run")
+	if w.overloaded() {
+		w.crash()
+		return
+	}
+	time.Sleep(w.work)
+	a.Header().Set("X-Bergamotspring-Server-Stamp", w.id+"."+id)
+	_, _ = fmt.Fprintf(a, "%s %s %d", w.id, id, len(body)) // the caller may have left
+}
+
+func (w *worker) arrive(x arrival, what string) {
+	w.mu.Lock()
+	w.arrivals = append(w.arrivals, x)
+	w.mu.Unlock()
+	w.rig.note("worker %s (%s): request %s %s", w.id, w.zone, x.id, what)
+}
+
+// overloaded reports whether more requests than a cold worker bears have arrived within a second.
+func (w *worker) overloaded() bool {
+	w.mu.Lock()
+	born := w.born
+	crashes := w.cold && w.limit > 0 && time.Since(born) < w.coldTime
+	w.mu.Unlock()
+	return crashes && w.mostInSecond(born, time.Now()) > w.limit
+}
+
+// since returns the arrivals after a moment.
+func (w *worker) since(t time.Time) []arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var l []arrival
+	for _, x := range w.arrivals {
+		if x.at.After(t) {
+			l = append(l, x)
+		}
+	}
+	return l
+}
