--- a/review/rig/cold.go
+++ b/review/rig/cold.go
@@ -32,7 +32,7 @@
 		return r.fail(err)
 	}
 	stop := make(chan struct{})
-	c := &consumers{rig: r}
+	c := &consumers{rig: r, key: apiKey}
 	for _, n := range r.nodes {
 		c.load(n, "GET", "/read/page", 1, stop)
 		c.load(n, "POST", "/log/find", 1, stop)
--- a/review/rig/consumer.go
+++ b/review/rig/consumer.go
@@ -33,7 +33,7 @@
 		"route-table": []any{route("read", "/read/", "safe", 2), route("log", "/log/", "unsafe", 1)},
 		"services":    []any{x},
 		"limits":      map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants":     []any{map[string]any{"name": "club", "api-keys": []string{apiKey}}},
+		"tenants":     r.tenants,
 	})
 	r.note("operator: configuration %d", version)
 }
@@ -50,6 +50,7 @@
 // consumers send requests to nodes and keep what became of them.
 type consumers struct {
 	rig  *rig
+	key  string
 	next atomic.Int64
 	mu   sync.Mutex
 	all  map[string]*sent // by id
@@ -86,7 +87,7 @@
 	q.Host = host
 	q.Header.Set("X-Bergamotspring-Request-Id", s.id)
 	q.Header.Set("X-Bergamotspring-Deadline-Ms", "3000")
-	q.Header.Set("Api-Key", apiKey)
+	q.Header.Set("Api-Key", c.key)
 	a, err := h.Do(q)
 	if err != nil {
 		c.rig.note("consumer: request %s %s to %s has no response: %v", s.id, path, n.name, err)
--- a/review/rig/evacuation.go
+++ b/review/rig/evacuation.go
@@ -42,7 +42,7 @@
 		return r.fail(fmt.Errorf("%d nodes read the store, not one for each region", len(readers)))
 	}
 	stop := make(chan struct{})
-	c := &consumers{rig: r}
+	c := &consumers{rig: r, key: apiKey}
 	for _, n := range r.nodes {
 		if !slices.Contains(readers, n) {
 			c.load(n, "GET", "/read/page", 3, stop)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 	"evacuation": evacuation,
 	"cold":       cold,
 	"inputs":     inputs,
+	"tenants":    tenants,
 }
 
 func main() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -46,6 +46,7 @@
 	store    *standin.Store
 	nodes    []*node
 	start    time.Time
+	tenants  []any // of the configurations
 	servers  []*http.Server
 
 	polled chan struct{} // gets a value when a node has polled the workers' entries
@@ -78,6 +79,7 @@
 		return nil, err
 	}
 	r := &rig{program: program, dir: temporary, disrupts: disrupts, store: &standin.Store{}, polled: make(chan struct{}, 1), record: record, start: time.Now()}
+	r.tenants = []any{map[string]any{"name": "club", "api-keys": []string{apiKey}}}
 	for range 50 {
 		r.network = fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
 		if err = r.serve(r.storeAddress(), http.HandlerFunc(r.serveStore)); err == nil {
