--- a/review/rig/consumer.go
+++ b/review/rig/consumer.go
@@ -68,14 +68,14 @@
 			case <-stop:
 				return
 			case <-t.C:
-				c.done.Go(func() { c.send(h, n, method, path) })
+				c.done.Go(func() { c.send(h, n, method, path, "") })
 			}
 		}
 	})
 }
 
 // send sends one request and records its outcome.
-func (c *consumers) send(h *http.Client, n *node, method, path string) *sent {
+func (c *consumers) send(h *http.Client, n *node, method, path, body string) *sent {
 	s := &sent{id: fmt.Sprintf("%016x", c.next.Add(1)), path: path, node: n, at: time.Now()}
 	c.mu.Lock()
 	if c.all == nil {
@@ -83,7 +83,7 @@
 	}
 	c.all[s.id] = s
 	c.mu.Unlock()
-	q, _ := http.NewRequest(method, "http://"+n.at(portCallers)+path, strings.NewReader("")) // a valid method and URL
+	q, _ := http.NewRequest(method, "http://"+n.at(portCallers)+path, strings.NewReader(body)) // a valid method and URL
 	q.Host = host
 	q.Header.Set("X-Bergamotspring-Request-Id", s.id)
 	q.Header.Set("X-Bergamotspring-Deadline-Ms", "3000")
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 
 // cases holds the function of each case by name. It returns one of the exit codes.
 var cases = map[string]func(*rig) int{
+	"deadly":     deadly,
 	"evacuation": evacuation,
 	"cold":       cold,
 	"inputs":     inputs,
--- a/review/rig/tenants.go
+++ b/review/rig/tenants.go
@@ -29,8 +29,8 @@
 	holder, stranger := &consumers{rig: r, key: apiKey}, &consumers{rig: r, key: "nobody0s0key000000x"}
 	stranger.next.Store(1 << 32) // ids of its own
 	for _, n := range r.nodes {
-		holder.send(h, n, http.MethodPost, "/log/find")
-		stranger.send(h, n, http.MethodPost, "/log/find")
+		holder.send(h, n, http.MethodPost, "/log/find", "")
+		stranger.send(h, n, http.MethodPost, "/log/find", "")
 	}
 	if r.disrupts {
 		r.tenants = []any{}
@@ -40,9 +40,9 @@
 	sentAt := time.Now()
 	for _, n := range r.nodes {
 		if r.disrupts {
-			holder.send(h, n, http.MethodPost, "/log/find")
+			holder.send(h, n, http.MethodPost, "/log/find", "")
 		}
-		stranger.send(h, n, http.MethodPost, "/log/find")
+		stranger.send(h, n, http.MethodPost, "/log/find", "")
 	}
 	dropped, unknown := 0, 0
 	for _, w := range workers {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -11,6 +11,15 @@
 	"time"
 )
 
+const (
+	// entryTime is how long the entry of a worker lasts that has crashed.
+	entryTime = 3 * heartbeat
+	// deadlyBody is the body of a request that crashes each worker that begins to run it.
+	deadlyBody = "deadly"
+	// restartTime is how long a worker that it crashed is down.
+	restartTime = 2 * time.Second
+)
+
 // heartbeat is how often a worker writes its entry.
 const heartbeat = 1200 * time.Millisecond
 
@@ -32,6 +41,7 @@
 	born     time.Time
 	cold     bool // since its start, for coldTime
 	sequence int
+	starts   int // since it was added
 	arrivals []arrival
 }
 
@@ -76,15 +86,38 @@
 	return nil
 }
 
-// crash ends the worker's process.
-func (w *worker) crash() {
+// restart starts a worker again after a crash, with a new id. An error shows in the record.
+func (w *worker) restart() {
+	w.mu.Lock()
+	w.starts++
+	w.id = fmt.Sprintf("i-%s-%s-%d", w.service, w.at, w.starts)
+	w.mu.Unlock()
+	if err := w.start(); err != nil {
+		w.rig.note("worker %s does not start: %v", w.id, err)
+	}
+}
+
+// crash ends the worker's process, and reports whether it ran.
+func (w *worker) crash() bool {
 	w.mu.Lock()
-	s := w.server
+	s, id := w.server, w.id
 	w.server = nil
 	w.mu.Unlock()
-	if s != nil {
-		_ = s.Close() // no error matters
-		w.rig.note("worker %s (%s) crashes", w.id, w.zone)
+	if s == nil {
+		return false
+	}
+	_ = s.Close() // no error matters
+	w.rig.note("worker %s (%s) crashes", id, w.zone)
+	time.AfterFunc(entryTime, func() { w.expire(id) })
+	return true
+}
+
+// expire removes the entry of a process that has crashed, unless another one has its id.
+func (w *worker) expire(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.id != id || w.server == nil {
+		w.rig.store.Remove("servers", id)
 	}
 }
 
@@ -131,6 +164,12 @@
 		}
 	}
 	w.arrive(arrival{id: id, at: at, ran: true}, "run")
+	if string(body) == deadlyBody {
+		if w.crash() {
+			time.AfterFunc(restartTime, w.restart)
+		}
+		return
+	}
 	if w.overloaded() {
 		w.crash()
 		return
