--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 	"deadly":     deadly,
 	"evacuation": evacuation,
 	"cold":       cold,
+	"filled":     filled,
 	"inputs":     inputs,
 	"tenants":    tenants,
 }
