--- a/review/rig/cold.go
+++ b/review/rig/cold.go
@@ -17,11 +17,10 @@
 // cold restarts a plain worker, which is then cold. If it gets more requests in a second than the rule allows, it
 // crashes.
 func cold(r *rig) int {
-	const service = "logbook-api"
-	r.configure(7, service, map[string]any{"cold-start-s": coldTime.Seconds(), "cold-per-s": coldRate})
+	r.configure(7, map[string]any{"cold-start-s": coldTime.Seconds(), "cold-per-s": coldRate})
 	var workers []*worker
 	for _, z := range []string{"muc-a", "muc-b", "nue-a"} {
-		w, err := r.addWorker(service, z)
+		w, err := r.addWorker(z)
 		if err != nil {
 			return r.fail(err)
 		}
--- a/review/rig/consumer.go
+++ b/review/rig/consumer.go
@@ -16,17 +16,19 @@
 const (
 	host   = "cache.example"
 	apiKey = "9dnn2ctnfzs989anu6ws"
+	// plainService is the name of the plain service.
+	plainService = "logbook-api"
 )
 
 // configure writes a configuration with a safe and an unsafe route to a plain service, whose settings more changes.
-func (r *rig) configure(version int, service string, more map[string]any) {
+func (r *rig) configure(version int, more map[string]any) {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "prefix": prefix, "route-kind": kind, "service": service, "timeout-ms": 1500,
+			"name": name, "host": host, "prefix": prefix, "route-kind": kind, "service": plainService, "timeout-ms": 1500,
 			"latency-goal-ms": 300, "priority": 2, "max-attempts": attempts, "public": false, "home-regions": []string{},
 		}
 	}
-	x := map[string]any{"name": service, "max-conns": 110, "health-path": "/healthz", "cold-start-s": 0, "cold-per-s": 0}
+	x := map[string]any{"name": plainService, "max-conns": 110, "health-path": "/healthz", "cold-start-s": 0, "cold-per-s": 0}
 	maps.Copy(x, more)
 	r.store.Put("op", "config", map[string]any{
 		"version":     version,
@@ -75,7 +77,7 @@
 }
 
 // send sends one request and records its outcome.
-func (c *consumers) send(h *http.Client, n *node, method, path, body string) *sent {
+func (c *consumers) send(h *http.Client, n *node, method, path, body string) {
 	s := &sent{id: fmt.Sprintf("%016x", c.next.Add(1)), path: path, node: n, at: time.Now()}
 	c.mu.Lock()
 	if c.all == nil {
@@ -91,7 +93,7 @@
 	a, err := h.Do(q)
 	if err != nil {
 		c.rig.note("consumer: request %s %s to %s has no response: %v", s.id, path, n.name, err)
-		return s
+		return
 	}
 	b, err := io.ReadAll(a.Body)
 	_ = a.Body.Close() // it was read
@@ -101,7 +103,6 @@
 		c.mu.Unlock()
 	}
 	c.rig.note("consumer: request %s %s to %s: %d %v", s.id, path, n.name, a.StatusCode, err)
-	return s
 }
 
 // lostWork returns how many requests of a path ran on a worker after a moment and got no success.
--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -42,14 +42,20 @@
 	return l[n-1]
 }
 
-// deadly sends a request that crashes workers, from two consumers that repeat it at once, and again some seconds later.
-func deadly(r *rig) int {
-	const service = "logbook-api"
-	r.configure(7, service, nil)
+// deadlyAtOnce sends a deadly request from two consumers that repeat it at once.
+func deadlyAtOnce(r *rig) int { return deadly(r, deadlyBody, r.disrupts) }
+
+// deadlyLate sends requests one after the other that crash workers in the middle of long answers.
+func deadlyLate(r *rig) int { return deadly(r, lateDeadlyBody, false) }
+
+// deadly sends a request that crashes workers some times, all together or one after the other, and again some seconds
+// later.
+func deadly(r *rig, body string, together bool) int {
+	r.configure(7, nil)
 	var workers []*worker
 	for range 2 {
 		for z := range regions {
-			w, err := r.addWorker(service, z)
+			w, err := r.addWorker(z)
 			if err != nil {
 				return r.fail(err)
 			}
@@ -71,12 +77,12 @@
 	for range rounds {
 		var w sync.WaitGroup
 		for i := range atOnce {
-			if !r.disrupts {
-				c.send(h, r.nodes[i], http.MethodPost, "/read/page", deadlyBody)
+			if !together {
+				c.send(h, r.nodes[i], http.MethodPost, "/read/page", body)
 				time.Sleep(restartTime / 2)
 				continue
 			}
-			w.Go(func() { c.send(h, r.nodes[i], http.MethodPost, "/read/page", deadlyBody) })
+			w.Go(func() { c.send(h, r.nodes[i], http.MethodPost, "/read/page", body) })
 		}
 		w.Wait()
 		time.Sleep(pause)
--- a/review/rig/evacuation.go
+++ b/review/rig/evacuation.go
@@ -23,10 +23,10 @@
 // power.
 func evacuation(r *rig) int {
 	const service, zone = "logbook-api", "muc-a"
-	r.configure(7, service, nil)
+	r.configure(7, nil)
 	var inZone []*worker
 	for z := range regions {
-		w, err := r.addWorker(service, z)
+		w, err := r.addWorker(z)
 		if err != nil {
 			return r.fail(err)
 		}
--- a/review/rig/filled.go
+++ b/review/rig/filled.go
@@ -90,9 +90,9 @@
 }
 
 // addFaultyWorker starts a worker and registers it.
-func (r *rig) addFaultyWorker(service, zone string) (*faultyWorker, error) {
+func (r *rig) addFaultyWorker(zone string) (*faultyWorker, error) {
 	at := fmt.Sprintf("%s:%d", r.newIP(), portWorker)
-	f := &faultyWorker{rig: r, id: fmt.Sprintf("i-%s-%s-%d", service, zone, r.nextIP)}
+	f := &faultyWorker{rig: r, id: fmt.Sprintf("i-%s-%s-%d", plainService, zone, r.nextIP)}
 	l, err := net.Listen("tcp", at)
 	if err != nil {
 		return nil, err
@@ -109,7 +109,7 @@
 	born := time.Now().UnixMilli()
 	register := func(n int) {
 		r.store.Put("servers", f.id, map[string]any{
-			"service": service, "address": at, "zone": zone, "version": "1", "slots": 6, "state": "ready",
+			"service": plainService, "address": at, "zone": zone, "version": "1", "slots": 6, "state": "ready",
 			"cold-left-ms": 0, "sequence": n, "born": born,
 		})
 	}
@@ -126,11 +126,10 @@
 
 // filled lets one of three workers garble a few of its answers for some seconds.
 func filled(r *rig) int {
-	const service = "logbook-api"
-	r.configure(7, service, nil)
+	r.configure(7, nil)
 	var faulty *faultyWorker
 	for _, z := range []string{"muc-a", "muc-b", "nue-a"} {
-		f, err := r.addFaultyWorker(service, z)
+		f, err := r.addFaultyWorker(z)
 		if err != nil {
 			return r.fail(err)
 		}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,7 +25,8 @@
 
 // cases holds the function of each case by name. It returns one of the exit codes.
 var cases = map[string]func(*rig) int{
-	"deadly":     deadly,
+	"deadly":     deadlyAtOnce,
+	"deadlylate": deadlyLate,
 	"evacuation": evacuation,
 	"cold":       cold,
 	"filled":     filled,
--- a/review/rig/tenants.go
+++ b/review/rig/tenants.go
@@ -12,11 +12,10 @@
 
 // tenants removes the only tenant, and then sends requests with its key and with one that nobody ever had.
 func tenants(r *rig) int {
-	const service = "logbook-api"
-	r.configure(7, service, nil)
+	r.configure(7, nil)
 	var workers []*worker
 	for z := range regions {
-		w, err := r.addWorker(service, z)
+		w, err := r.addWorker(z)
 		if err != nil {
 			return r.fail(err)
 		}
@@ -35,7 +34,7 @@
 	if r.disrupts {
 		r.tenants = []any{}
 	}
-	r.configure(9, service, nil)
+	r.configure(9, nil)
 	time.Sleep(applyTime + time.Second)
 	sentAt := time.Now()
 	for _, n := range r.nodes {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -16,6 +16,8 @@
 	entryTime = 3 * heartbeat
 	// deadlyBody is the body of a request that crashes each worker that begins to run it.
 	deadlyBody = "deadly"
+	// lateDeadlyBody is that of one that crashes them when most of a long answer is sent.
+	lateDeadlyBody = "deadly late"
 	// restartTime is how long a worker that it crashed is down.
 	restartTime = 2 * time.Second
 )
@@ -25,11 +27,11 @@
 
 // worker is a sound worker of a plain service, registered in the store. It can crash and start again.
 type worker struct {
-	rig               *rig
-	id, service, zone string
-	at                string // address
-	work              time.Duration
-	coldTime          time.Duration // after a start
+	rig      *rig
+	id, zone string
+	at       string // address
+	work     time.Duration
+	coldTime time.Duration // after a start
 	// refuse returns the Retry-After with which a request is rejected, "" if it is not; nil: none is.
 	refuse func() string
 
@@ -53,9 +55,9 @@
 }
 
 // addWorker starts a worker and registers it.
-func (r *rig) addWorker(service, zone string) (*worker, error) {
+func (r *rig) addWorker(zone string) (*worker, error) {
 	w := &worker{
-		rig: r, id: fmt.Sprintf("i-%s-%s-%d", service, zone, r.nextIP), service: service, zone: zone,
+		rig: r, id: fmt.Sprintf("i-%s-%s-%d", plainService, zone, r.nextIP), zone: zone,
 		at: fmt.Sprintf("%s:%d", r.newIP(), portWorker), work: 20 * time.Millisecond,
 	}
 	if err := w.start(); err != nil {
@@ -90,7 +92,7 @@
 func (w *worker) restart() {
 	w.mu.Lock()
 	w.starts++
-	w.id = fmt.Sprintf("i-%s-%s-%d", w.service, w.at, w.starts)
+	w.id = fmt.Sprintf("i-%s-%s-%d", plainService, w.at, w.starts)
 	w.mu.Unlock()
 	if err := w.start(); err != nil {
 		w.rig.note("worker %s does not start: %v", w.id, err)
@@ -134,7 +136,7 @@
 		cold = max(0, time.Until(w.born.Add(w.coldTime)))
 	}
 	w.rig.store.Put("servers", w.id, map[string]any{
-		"service": w.service, "address": w.at, "zone": w.zone, "version": "1", "slots": 6, "state": "ready",
+		"service": plainService, "address": w.at, "zone": w.zone, "version": "1", "slots": 6, "state": "ready",
 		"cold-left-ms": cold.Milliseconds(), "sequence": w.sequence, "born": w.born.UnixMilli(),
 	})
 }
@@ -164,7 +166,11 @@
 		}
 	}
 	w.arrive(arrival{id: id, at: at, ran: true}, "run")
-	if string(body) == deadlyBody {
+	switch string(body) {
+	case lateDeadlyBody:
+		w.sendStart(a, id)
+		fallthrough
+	case deadlyBody:
 		if w.crash() {
 			time.AfterFunc(restartTime, w.restart)
 		}
@@ -186,6 +192,15 @@
 	w.rig.note("worker %s (%s): request %s %s", w.id, w.zone, x.id, what)
 }
 
+// sendStart sends the first 2 MB of an answer of 3 MB.
+func (w *worker) sendStart(a http.ResponseWriter, id string) {
+	a.Header().Set("X-Bergamotspring-Server-Stamp", w.id+"."+id)
+	a.Header().Set("Content-Length", "3000000")
+	_, _ = a.Write(make([]byte, 2000000)) // the caller may have left
+	_ = http.NewResponseController(a).Flush()
+	time.Sleep(100 * time.Millisecond)
+}
+
 // overloaded reports whether more requests than a cold worker bears have arrived within a second.
 func (w *worker) overloaded() bool {
 	w.mu.Lock()
