--- a/review/rig/cold.go
+++ b/review/rig/cold.go
@@ -41,7 +41,9 @@
 	if r.disrupts {
 		w.crash()
 		time.Sleep(2 * time.Second)
+		w.mu.Lock()
 		w.id, w.cold, w.limit = w.id+"-next", true, int(coldRate*coldOverage+coldSlack)
+		w.mu.Unlock()
 		if err := w.start(); err != nil {
 			return r.fail(err)
 		}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -31,6 +31,7 @@
 	"cold":       cold,
 	"filled":     filled,
 	"inputs":     inputs,
+	"leaving":    leaving,
 	"tenants":    tenants,
 }
 
--- a/review/rig/stage.go
+++ b/review/rig/stage.go
@@ -95,10 +95,15 @@
 		return
 	}
 	p.sequence++
-	p.rig.store.Put("servers", p.current.ID, map[string]any{
+	e := map[string]any{
 		"service": p.service, "address": p.current.Address, "zone": p.zone, "version": "1", "slots": 1, "state": "ready",
 		"cold-left-ms": 0, "sequence": p.sequence, "born": p.current.Started.UnixMilli(),
-	})
+	}
+	if p.current.Events > 0 {
+		e["slots"], e["stage"] = 96, "both"
+		e["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
+	}
+	p.rig.store.Put("servers", p.current.ID, e)
 }
 
 // recorded records the requests of a process, and adds its start to its reports.
