--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -188,7 +188,7 @@
 	}
 	took := time.Since(start)
 	h.meter.countBatch(c.Server.Service, outcome == placement.BatchDone, len(c.Tasks), took)
-	h.log.Info("stage_call", zap.String("server", c.Server.ID), zap.String("service", c.Server.Service),
+	h.log.Info("stage_call", zap.String("server", c.Server.ID), zap.Int64("process", c.Server.StartedAt), zap.String("service", c.Server.Service),
 		zap.Int("pieces", len(c.Tasks)), zap.Int("made", counts[placement.TaskDone]), zap.Int("gone", counts[placement.TaskInputLost]),
 		zap.Int("no_room", counts[placement.TaskNoCapacity]), zap.Int("waiting", c.Queued),
 		zap.Duration("took", took), zap.Uint8("end", uint8(outcome)), zap.Error(err))
