--- a/io/edge/tablecache.go
+++ b/io/edge/tablecache.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +43,8 @@
 	// onServer is called after the new or changed entry of a server was cached.
 	onServer func(*relay.Server)
 
-	otherBuilds              atomic.Int64 // registered nodes that this one does not exchange messages with
+	otherBuilds              atomic.Int64    // registered nodes that this one does not exchange messages with
+	takenOut                 map[string]bool // failure domains, as of the last change of the operator's rows
 	reading                  readSwitch
 	operator, servers, nodes *tableWatch
 }
@@ -128,7 +131,7 @@
 		v[k] = r.Value
 	}
 	c, out, err := platform.DecodeOperator(v)
-	b.cache.TakeOut(out)
+	b.takeOut(out)
 	if err != nil {
 		b.log.Error("configuration_unreadable", zap.Error(err))
 		return
@@ -138,6 +141,15 @@
 	}
 }
 
+// takeOut replaces the set of failure domains that are taken out.
+func (b *tableCache) takeOut(out map[string]bool) {
+	if !maps.Equal(out, b.takenOut) {
+		b.log.Info("domains_taken_out", zap.Strings("domains", slices.Sorted(maps.Keys(out))))
+	}
+	b.takenOut = out
+	b.cache.TakeOut(out)
+}
+
 func (b *tableCache) onServerRows(rows map[string]replica.Row, keys []string) {
 	if len(keys) > manyEntries {
 		b.log.Info("servers_read", zap.Int("servers", len(rows)), zap.Int("changed", len(keys)))
