Stage servers: no batch goes to another process than the coordinator counts on

Cause: a handle is an address and a number that each process counts anew, and nothing tied it to the process. The coordinator learned of a new one from its entry, up to a second late. Fix: each new connection to a stage server begins with a call for its state, which names the start; a connection ends with its process, so a batch reaches the process that is counted on or none. What an earlier process stored is given up first. The next one at its address gets no batch while a granted request, a batch or a release may still use a handle of before. Others of the pool go on meanwhile.

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -27,6 +27,9 @@
 	}
 	delete(h.batches, number)
 	c.stageServer.batches--
+	if status != BatchBroken {
+		c.reads.end(reader{batch: number})
+	}
 	h.observeBatch(c, status)
 	if status != BatchDone || len(results) != len(c.tasks) || c.stageServer.lost {
 		results = make([]TaskResult, len(c.tasks))
@@ -69,7 +72,7 @@
 		h.queryCapacity(m)
 	case BatchMoved, BatchRefused:
 		h.backOff(m)
-		h.replaceStageServer(c.pool, m)
+		h.replaceStageServer(c.pool, m, m.server)
 	}
 }
 
@@ -153,26 +156,6 @@
 	}
 }
 
-// replaceStageServer drops the results of a server whose process has ended, queues their
-// tasks again, and returns the state of the next process under the same ID.
-func (h *Scheduler) replaceStageServer(q *stagePool, m *stageServer) *stageServer {
-	m.lost = true
-	fresh := &stageServer{server: m.server, backoffUntil: m.backoffUntil, backoff: m.backoff}
-	q.stageServers[m.server.ID] = fresh
-	q.nearestView = nil
-	for _, j := range h.jobs {
-		if j.granted != nil {
-			continue
-		}
-		for _, s := range j.stages {
-			if s.request.Service == q.service && !s.released {
-				h.requeueLost(q, s, m)
-			}
-		}
-	}
-	return fresh
-}
-
 // requeueLost drops the results of a stage at a server, and queues their tasks again unless the next
 // coordinator will.
 func (h *Scheduler) requeueLost(q *stagePool, s *jobStage, m *stageServer) {
--- a/core/placement/capacity.go
+++ b/core/placement/capacity.go
@@ -124,7 +124,7 @@
 	for _, q := range h.sortedPools() {
 		if q.stageServers[m.server.ID] == m {
 			h.backOff(m)
-			h.replaceStageServer(q, m)
+			h.replaceStageServer(q, m, m.server)
 		}
 	}
 }
--- a/core/placement/job.go
+++ b/core/placement/job.go
@@ -23,6 +23,7 @@
 	counted      bool         // counted as served in fairness
 	handingOver  bool         // it moves to the next coordinator once none of its tasks is in a batch
 	granted      *modelServer // nil until granted
+	reads        reads        // of its inputs by the model server
 }
 
 // jobStage is the progress of one stage of a job.
--- /dev/null
+++ b/core/placement/occupants_test.go
@@ -0,0 +1,171 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"bergamotspring/core/relay"
+)
+
+// tell has a server's process tell its start, before its entry does.
+func (b *harness) tell(id string, startedAt int64) {
+	s := b.server(id)
+	b.scheduler.ObserveProcess(s.Address, relay.Process{ID: id, StartedAt: startedAt})
+	b.advance(25 * time.Millisecond)
+}
+
+func (b *harness) server(id string) *relay.Server {
+	i := slices.IndexFunc(b.servers, func(s *relay.Server) bool { return s.ID == id })
+	return b.servers[i]
+}
+
+// batchesOn returns the number of batches in progress on a server.
+func (b *harness) batchesOn(id string) int {
+	n := 0
+	for _, c := range b.batches {
+		if c.Server.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+// A server's process tells that it is another one than its entry says: what was stored is made again there, the older
+// entry changes nothing, and a later one does not lose what was made since.
+func TestProcessTellsBeforeEntry(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "rank-a", "model-a")
+	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
+	b.submit("1", 2, mebibyte, twoStages)
+	b.completeOn("encode-a")
+	b.tell("encode-a", 7)
+	b.want("process of the batch", b.batches[1].Server.StartedAt, int64(7))
+	for range 2 { // while the entry is old, and when it is no longer
+		b.servers = slices.Clone(b.servers)
+		b.advance(25 * time.Millisecond)
+		b.want("process of the batch in progress", b.batches[1].Server.StartedAt, int64(7))
+	}
+	b.completeOn("encode-a")
+	s := *b.server("encode-a")
+	s.StartedAt = 7
+	b.servers[slices.Index(b.servers, b.server("encode-a"))] = &s
+	b.advance(25 * time.Millisecond)
+	b.completeOn("rank-a")
+	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/1", "encodea:1/2")
+}
+
+// A process that told its start ends, which the next entry tells.
+func TestEntryAfterToldProcess(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "rank-a", "model-a")
+	b.tell("encode-a", 7)
+	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
+	b.submit("1", 2, mebibyte, twoStages)
+	b.completeOn("encode-a")
+	b.restart("encode-a")
+	b.want("process of the batch", b.batches[1].Server.StartedAt, b.server("encode-a").StartedAt)
+	b.completeOn("encode-a")
+	b.completeOn("rank-a")
+	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/1", "encodea:1/2")
+}
+
+// A granted request may not have read its inputs yet as the process that stores them ends: the next process at the
+// address, under the same id or another one, gets no batch until it has, as it may give the handles to others. Other
+// servers do.
+func TestNextProcessWaitsForReaders(t *testing.T) {
+	for name, next := range map[string]func(b *harness) (id string){
+		"same id": func(b *harness) string { b.tell("encode-a", 7); return "encode-a" },
+		"another id": func(b *harness) string {
+			s := *b.server("encode-a")
+			s.ID, s.StartedAt = "encode-x", 7
+			b.servers = append(slices.DeleteFunc(b.servers, func(s *relay.Server) bool { return s.ID == "encode-a" }), &s)
+			return s.ID
+		},
+	} {
+		for _, end := range []RunStatus{RunStarted, RunDone, RunRejected, RunNotSent, RunConnectionLost, RunAbandoned} {
+			b := newHarness(t)
+			b.keepServers("encode-a", "encode-b", "model-a")
+			b.submit("1", 2, mebibyte, nil)
+			b.completeOn("encode-a")
+			b.want(name+": decisions", len(b.decisions), 1)
+			id := next(b)
+			for _, r := range []string{"2", "3"} {
+				b.submit(r, 8, 1000, nil)
+			}
+			b.advance(25 * time.Millisecond)
+			b.want(name+": batches at the next process before the inputs were read", b.batchesOn(id), 0)
+			b.want(name+": batches at the other server", b.batchesOn("encode-b"), 1)
+			b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: "model-a", Status: end})
+			b.collect()
+			b.advance(25 * time.Millisecond)
+			// Its connection is lost, but the model server may still run it.
+			after := 1
+			if end == RunConnectionLost || end == RunAbandoned {
+				after = 0
+			}
+			b.want(name+": batches at the next process after the report", b.batchesOn(id), after)
+			b.advance(4 * time.Second)
+			b.submit("4", 8, 1000, nil)
+			b.want(name+": batches at the next process after the deadline", b.batchesOn(id), 1)
+			if b.batchesOn(id) == 1 {
+				b.want(name+": processes that are remembered", len(b.scheduler.occupants["encodea:1"]), 1)
+			}
+		}
+	}
+}
+
+// A batch may not have read its inputs yet as the process that stores them ends.
+func TestNextProcessWaitsForBatches(t *testing.T) {
+	for status, after := range map[BatchStatus]int{BatchDone: 1, BatchRejected: 1, BatchUnsent: 1, BatchBroken: 0} {
+		b := newHarness(t)
+		b.keepServers("encode-a", "rank-a", "model-a")
+		b.submit("1", 2, mebibyte, twoStages)
+		b.completeOn("encode-a")
+		b.tell("encode-a", 7)
+		b.want("batches at the next process", b.batchesOn("encode-a"), 0)
+		reading := b.batches[0]
+		b.batches = nil
+		b.scheduler.OnBatch(reading.Number, status, []TaskResult{{Handle: "x"}})
+		b.collect()
+		b.advance(25 * time.Millisecond)
+		b.want("batches at the next process after the one that reads ended", b.batchesOn("encode-a"), after)
+	}
+}
+
+// A release of results is on its way as their process ends: the next one stores none that it would name.
+func TestNextProcessWaitsForRelease(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "model-a")
+	b.submit("1", 2, mebibyte, nil)
+	b.completeOn("encode-a")
+	b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: "model-a", Status: RunStarted})
+	b.collect()
+	b.want("releases", len(b.releases), 1)
+	b.tell("encode-a", 7)
+	b.submit("2", 1, 1000, nil)
+	b.want("batches before the release ended", b.batchesOn("encode-a"), 0)
+	b.scheduler.OnRelease(b.releases[0].Number, MessageFailed)
+	b.advance(25 * time.Millisecond)
+	b.want("batches after it", b.batchesOn("encode-a"), 1)
+	b.want("releases to the next process", len(b.releases), 1)
+}
+
+// The entry of a server with results stays, as another one has its address: it gets no batch before it is known which
+// of the two listens there, and then the results are made again.
+func TestTwoEntriesWithOneAddress(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "rank-a", "model-a")
+	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
+	b.submit("1", 2, mebibyte, twoStages)
+	b.completeOn("encode-a")
+	s := *b.server("encode-a")
+	s.ID, s.StartedAt = "encode-x", 7
+	b.servers = append(slices.Clone(b.servers), &s)
+	b.submit("2", 8, 1000, nil)
+	b.submit("3", 8, 1000, nil)
+	b.want("batches at the new server", b.batchesOn("encode-x"), 0)
+	b.tell("encode-x", 7)
+	b.completeOn("encode-a") // a process at the address still answers to the old id, as its entry is there
+	b.want("batches at the new server", b.batchesOn("encode-x"), 1)
+}
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -62,6 +62,8 @@
 	timeRatio      float64   // measured over expected batch time, smoothed; 0: not measured yet
 	lost           bool      // its process ended and its results with it
 	unregistered   bool      // its entry is gone; kept to tell whether the same process returns
+	outdated       *int64    // start in an entry that is older than what the process itself told; nil: none
+	readers        map[reader]time.Time
 }
 
 // unusedResult is a stored result that is no longer needed.
@@ -78,6 +80,7 @@
 	tasks       []*task
 	started     time.Time
 	expected    time.Duration
+	reads       reads // of the inputs of its tasks
 }
 
 // pendingRelease is a ReleaseResults in flight.
@@ -127,6 +130,7 @@
 			}
 		}
 	}
+	h.pruneOccupants()
 }
 
 // usesResults reports whether a job uses a result at a server; results may take no bytes.
@@ -174,22 +178,41 @@
 	}
 	var l []*stageServer
 	for _, s := range v.Servers[q.service] {
-		m := q.stageServers[s.ID]
-		if m == nil {
-			m = &stageServer{server: s}
-			q.stageServers[s.ID] = m
-			h.queryCapacity(m)
-		}
-		if m.server.StartedAt != s.StartedAt {
-			m = h.replaceStageServer(q, m)
-		}
-		m.server = s
-		l = append(l, m)
+		l = append(l, h.stageServer(q, s))
 	}
 	q.nearest, q.nearestView = nearest(l, func(m *stageServer) bool { return m.server.Region == h.Region }), v
 	return q.nearest
 }
 
+// stageServer returns the state of the server of an entry.
+func (h *Scheduler) stageServer(q *stagePool, s *relay.Server) *stageServer {
+	m := q.stageServers[s.ID]
+	if m == nil {
+		m = &stageServer{server: s}
+		h.setStageServer(q, m)
+		h.queryCapacity(m)
+		return m
+	}
+	if m.isOutdated(s) {
+		c := *s
+		c.StartedAt = m.server.StartedAt
+		m.server = &c
+		return m
+	}
+	if m.server.StartedAt != s.StartedAt || m.server.Address != s.Address {
+		m = h.replaceStageServer(q, m, s)
+	}
+	m.server, m.outdated = s, nil
+	return m
+}
+
+// setStageServer stores the state of a server in place of an earlier one.
+func (h *Scheduler) setStageServer(q *stagePool, m *stageServer) {
+	q.stageServers[m.server.ID] = m
+	q.nearestView = nil
+	h.occupants[m.server.Address] = append(h.occupants[m.server.Address], m)
+}
+
 // lacksStageServers reports whether a stage of a job has tasks that are in no batch, and no server that may run them:
 // those that there are have stated that they are leaving, or there are none and none will be back soon.
 func (h *Scheduler) lacksStageServers(j *job) bool {
@@ -240,6 +263,7 @@
 	if len(l) == 0 || q.queue.tasks == 0 {
 		return
 	}
+	l = slices.DeleteFunc(l, func(m *stageServer) bool { return !h.mayStore(m) })
 	groups := h.taskGroups(q)
 	near := map[string]bool{} // failure domains with a server that is not resting
 	for _, m := range all {
@@ -377,6 +401,9 @@
 		p.stage.inBatch++
 		m.reserved += p.stage.request.ResultBytes
 		k.Tasks = append(k.Tasks, p.toTask(c.started))
+		for _, n := range p.stage.request.After {
+			c.reads.add(p.job.stages[n], reader{batch: k.Number}, p.job.deadline)
+		}
 	}
 	h.work.Batches = append(h.work.Batches, k)
 }
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -45,6 +45,7 @@
 
 	jobs         map[Key]*job
 	pools        map[string]*stagePool
+	occupants    map[string][]*stageServer // by address: processes of stage servers, also ended ones; see occupants.go
 	modelServers map[string]*modelServer
 	batches      map[uint64]*batch
 	releases     map[uint64]*pendingRelease
@@ -67,6 +68,9 @@
 func (h *Scheduler) Submit(a Request) {
 	h.init()
 	now := h.Now()
+	if j := h.jobs[a.Key]; j != nil && a.Retry {
+		j.reads.end(reader{run: a.Key})
+	}
 	if a.Retry && !a.InputLost && h.regrant(a) {
 		h.dispatch()
 		return
@@ -118,6 +122,7 @@
 		h.backlogs = map[string]*backlog{}
 		h.jobs = map[Key]*job{}
 		h.pools = map[string]*stagePool{}
+		h.occupants = map[string][]*stageServer{}
 		h.modelServers = map[string]*modelServer{}
 		h.batches = map[uint64]*batch{}
 		h.releases = map[uint64]*pendingRelease{}
@@ -279,6 +284,11 @@
 		return
 	}
 	j.granted = e.modelServer
+	for _, s := range j.stages {
+		if !j.hasFollower(s.index) {
+			j.reads.add(s, reader{run: j.request.Key}, j.deadline)
+		}
+	}
 	if !j.counted {
 		j.counted = true
 		h.fairness.count(j.request.fairnessKeys(), true)
@@ -300,6 +310,9 @@
 	if j == nil || j.request.Attempt != r.Attempt || r.Server != "" && !j.isGranted(r.Server) {
 		return
 	}
+	if r.Status != RunConnectionLost && r.Status != RunAbandoned {
+		j.reads.end(reader{run: r.Key}) // it has read its inputs, or never will
+	}
 	switch r.Status {
 	case RunStarted:
 		h.segments.add(j.request.Segments, r.Server, h.Now())
--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -192,7 +192,23 @@
 		zap.Int("pieces", len(c.Tasks)), zap.Int("made", counts[placement.TaskDone]), zap.Int("gone", counts[placement.TaskInputLost]),
 		zap.Int("no_room", counts[placement.TaskNoCapacity]), zap.Int("waiting", c.Queued),
 		zap.Duration("took", took), zap.Uint8("end", uint8(outcome)), zap.Error(err))
-	h.do(func(p *placement.Scheduler) { p.OnBatch(c.Number, outcome, l) })
+	started := platform.StageProcessStart(err)
+	h.do(func(p *placement.Scheduler) {
+		h.observeProcess(p, &c.Server, started)
+		p.OnBatch(c.Number, outcome, l)
+	})
+}
+
+// observeProcess passes on the start of the process that answered in a stage server's place, 0 if it is not known. The
+// lock is held.
+func (h *scheduler) observeProcess(p *placement.Scheduler, s *relay.Server, startedAt int64) {
+	if startedAt == 0 {
+		return
+	}
+	if startedAt != s.StartedAt {
+		h.log.Info("stage_server_replaced", zap.String("server", s.ID), zap.Int64("process", s.StartedAt), zap.Int64("next", startedAt))
+	}
+	p.ObserveProcess(s.Address, relay.Process{ID: s.ID, StartedAt: startedAt})
 }
 
 func (h *scheduler) exchangeBatch(ctx context.Context, c *placement.Batch) (placement.BatchStatus, []placement.TaskResult, error) {
@@ -209,9 +225,12 @@
 		return platform.StageMark(b), err
 	})
 	var u *exchange.UnsentError
+	var o *exchange.OtherProcessError
 	switch {
 	case errors.Is(err, relay.ErrHeldOff):
 		return placement.BatchRejected, nil, err
+	case errors.As(err, &o):
+		return placement.BatchMoved, nil, err
 	case errors.As(err, &u) && u.Refused:
 		return placement.BatchRefused, nil, err
 	case u != nil:
@@ -260,12 +279,13 @@
 func (h *scheduler) query(l *placement.CapacityQuery) {
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
-	free := int64(0)
+	var free, started int64
 	q := platform.StageQuery(l)
 	q.Guard = h.guard.messageGuard(&l.Server)
 	status, _, err := h.pool.Whole(ctx, q, maxStageResponse, func(status int, b []byte) (mark string, err error) {
 		if status == http.StatusOK {
 			free, err = platform.StageCapacity(b)
+			started, _ = platform.StageStart(b) // unknown if it cannot be read
 		}
 		return platform.StageMark(b), err
 	})
@@ -273,7 +293,13 @@
 	if outcome != placement.MessageDone {
 		h.log.Warn("look_failed", zap.String("server", l.Server.ID), zap.Int("status", status), zap.Error(err))
 	}
-	h.do(func(p *placement.Scheduler) { p.OnCapacity(l.Number, outcome, free) })
+	if outcome != placement.MessageDone {
+		started = 0
+	}
+	h.do(func(p *placement.Scheduler) {
+		h.observeProcess(p, &l.Server, started)
+		p.OnCapacity(l.Number, outcome, free)
+	})
 }
 
 // messageStatus returns how a message ended, from its HTTP status or error.
--- a/io/exchange/conn.go
+++ b/io/exchange/conn.go
@@ -21,6 +21,10 @@
 	// interchangeable is Request.Interchangeable of its requests.
 	interchangeable bool
 	seen            ids
+
+	shaken   bool   // its handshake was answered
+	process  string // that answered; empty: unknown
+	greeting []byte // body of that response
 }
 
 // isNew adds the mark of a response to r to the known ones, and returns false if it was known. A connection knows its
@@ -38,9 +42,9 @@
 
 // mayCarry reports whether a request may be sent on a connection that was used before: its requests had
 // their ids in the same header, if any, and none had that of r. A copy of an earlier response is then
-// told from that to r.
+// told from that to r. The connection leads to the process of r, if it had a handshake.
 func (c *conn) mayCarry(r *Request) bool {
-	return c.echo == r.Echo && c.interchangeable == r.Interchangeable && !c.seen.has(r.id())
+	return c.echo == r.Echo && c.interchangeable == r.Interchangeable && !c.seen.has(r.id()) && c.leadsTo(r.Process)
 }
 
 // reusable reports whether the connection can be used for another request.
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -48,7 +48,10 @@
 	Interchangeable bool
 	// Process identifies the process at the address, as far as it is known. The next one may use the marks of Whole again.
 	Process string
-	Guard   Guard
+	// Handshake, if set, makes sure that the request is sent to Process only. If another one answers it, the error is
+	// an UnsentError with an OtherProcessError.
+	Handshake *Handshake
+	Guard     Guard
 }
 
 // Response is a response whose header was read. Body ends with io.EOF only if it is
@@ -126,11 +129,10 @@
 	if err := r.Guard.admit(ctx); err != nil {
 		return nil, nil, &UnsentError{Cause: err}
 	}
-	c, err := p.get(ctx, r)
+	c, err := p.getVerified(ctx, r)
 	if err != nil {
 		return nil, nil, &UnsentError{Refused: refused(err), Cause: err}
 	}
-	c.echo, c.interchangeable = r.Echo, r.Interchangeable
 	if err := r.Guard.admit(ctx); err != nil {
 		p.put(c)
 		return nil, nil, &UnsentError{Cause: err}
@@ -171,7 +173,7 @@
 	for n := 0; ; n++ {
 		var mark string
 		b, mark, err = readWhole(a, limit, identify)
-		if body.conn.isNew(r, mark) {
+		if !body.conn.repeatsHandshake(b) && body.conn.isNew(r, mark) {
 			r.Guard.onHead(a.StatusCode, a.Header)
 			body.reuse = (mark != "" || r.Interchangeable && a.StatusCode == http.StatusOK) && framed(a) && !a.Close
 			break
--- /dev/null
+++ b/io/exchange/handshake_test.go
@@ -0,0 +1,95 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// verified sends a request to a process after a handshake. Bodies of responses name the process, or are marks.
+func (s *script) verified(process string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r := &Request{
+		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Process: process,
+		Handshake: &Handshake{
+			Request:  &Request{Address: address, Method: http.MethodGet, Target: "/who", Host: "h"},
+			Identify: func(_ int, b []byte) (string, error) { return string(b), nil },
+		},
+	}
+	_, b, err := s.pool.Whole(ctx, r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
+	return string(b), err
+}
+
+// A request reaches the process that it is meant for only. There is one handshake for each connection.
+func TestHandshake(t *testing.T) {
+	const closes = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na" + cut
+	for _, c := range []struct {
+		name      string
+		process   string
+		responses []string
+		want      string
+		other     string // process that the error names
+		conns     int
+	}{
+		{"the process", "a", []string{okResponse("", "a"), okResponse("", "m1")}, "m1", "", 1},
+		{"another one", "a", []string{okResponse("", "b")}, "", "b", 1},
+		{"one that does not say", "a", []string{okResponse("", ""), okResponse("", "m1")}, "m1", "", 1},
+		{"none is known", "", []string{okResponse("", "a")}, "", "a", 1},
+		{"the handshake's response comes twice", "a", []string{okResponse("", "a") + okResponse("", "a"), okResponse("", "m1")}, "m1", "", 1},
+		{"the connection ends after the handshake", "a", []string{closes, okResponse("", "a"), okResponse("", "m1")}, "m1", "", 2},
+	} {
+		run(t, func(s *script) {
+			for _, r := range c.responses {
+				s.responses <- r
+			}
+			got, err := s.verified(c.process)
+			o, ok := errors.AsType[*OtherProcessError](err)
+			if got != c.want || ok != (c.other != "") || ok && o.Process != c.other || s.conns != c.conns {
+				t.Errorf("%s: got %q %v on %d connections, want %q from process %q on %d", c.name, got, err, s.conns, c.want, c.other, c.conns)
+			}
+			if _, ok := errors.AsType[*UnsentError](err); err != nil && !ok {
+				t.Errorf("%s: got %T, want a request that was not sent", c.name, err)
+			}
+		})
+	}
+}
+
+// A server that closes each connection after the handshake gets no request, and not a handshake after the other.
+func TestHandshakesWithoutEnd(t *testing.T) {
+	run(t, func(s *script) {
+		for range 2 * maxHandshakes {
+			s.responses <- "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\na" + cut
+		}
+		if _, err := s.verified("a"); !errors.Is(err, errNoHandshake) || s.conns != maxHandshakes {
+			t.Errorf("got %v on %d connections, want %v on %d", err, s.conns, errNoHandshake, maxHandshakes)
+		}
+	})
+}
+
+// A connection carries the requests to its process without another handshake, and none to the next one.
+func TestConnectionOfProcess(t *testing.T) {
+	run(t, func(s *script) {
+		for i, c := range []struct {
+			process   string
+			responses []string
+			want      string
+			conns     int
+		}{
+			{"a", []string{okResponse("", "a"), okResponse("", "m1")}, "m1", 1},
+			{"a", []string{okResponse("", "m2")}, "m2", 1},
+			{"b", []string{okResponse("", "b"), okResponse("", "m1")}, "m1", 2},
+			{"b", []string{okResponse("", "m2")}, "m2", 2},
+			{"a", []string{okResponse("", "m3")}, "m3", 2},
+		} {
+			for _, r := range c.responses {
+				s.responses <- r
+			}
+			if got, err := s.verified(c.process); got != c.want || err != nil || s.conns != c.conns {
+				t.Errorf("request %d: got %q %v on %d connections, want %q on %d", i, got, err, s.conns, c.want, c.conns)
+			}
+		}
+	})
+}
