core/suspect: each crash of a burst of equal requests counts

Cause: crashes by equal requests within 50 ms counted once, as those of servers that are lost together, so that three bursts were needed. Fix: where nearly all servers that crash at a moment had the request, each crash counts. In a loss others crash beside them, and they count once as before. A culprit that only bursts have shown is tried after 1 s, as it may be sound, and its callers are told to come back then. TestCrashingRequestAtOnce (18 late crashes, 3 allowed), TestBurst, TestBurstOrLoss, TestBurstInOneDomain and TestBurstOfSoundRequest failed before.

--- a/core/suspect/culprit.go
+++ b/core/suspect/culprit.go
@@ -16,12 +16,14 @@
 	// crashGap is the time within which crashes count once for a segment: servers that
 	// crash together, as in the loss of a failure domain, had popular segments in common.
 	crashGap = 300 * time.Millisecond
-	// requestGap is the same for equal requests, one of which may be resent at once.
+	// requestGap is the same for equal requests, one of which may be resent at once, outside of bursts.
 	requestGap = 50 * time.Millisecond
 	// lossSpan is how long the loss of a failure domain may take to show: nodes notice it one after the
 	// other. Within it, at most lossGroups groups of the domain's crashes count.
 	lossSpan   = 3 * time.Second
 	lossGroups = 2
+	// poisonRetryAfter is the Retry-After of a request that is refused for a culprit.
+	poisonRetryAfter = 10 * time.Second
 	// otherCompany is the number of crashes, crashGap apart, without a culprit's segments that show
 	// that others, which were in its crashes too, are enough.
 	otherCompany = 2
@@ -44,6 +46,7 @@
 	Crashes     int
 	From        string // the node that it was adopted from; empty: found in the recorded crashes
 	groups      int    // crashes that are crashGap apart, of a request requestGap
+	burst       bool   // a request that has too few groups, but enough crashes in bursts
 }
 
 // matches reports whether a request must not run because of the culprit.
@@ -116,14 +119,14 @@
 	groups int
 }
 
-// add adds a crash of a group.
-func (t *tally) add(group int, x *crash) {
+// add adds a crash of a group. Burst says that it is certainly no part of the loss of its failure domain.
+func (t *tally) add(group int, x *crash, burst bool) {
 	t.crashes++
 	if t.group == group {
 		return
 	}
 	t.group = group
-	if t.mayBeLoss(x) {
+	if t.mayBeLoss(x) && !burst {
 		return
 	}
 	t.groups++
--- a/core/suspect/notices.go
+++ b/core/suspect/notices.go
@@ -81,10 +81,11 @@
 		t.groups, trials, last = poisonThreshold, n.Trials, n.CrashedAt
 	}
 	for group, x := range grouped(l, crashGap) {
-		if t.groups >= poisonThreshold && x.at.Sub(last) >= trialDelay {
+		refused := t.groups >= poisonThreshold || n.burst && t.crashes >= poisonThreshold
+		if refused && x.at.Sub(last) >= trialDelay {
 			trials++
 		}
-		t.add(group, x)
+		t.add(group, x, false)
 		if last.Before(x.at) {
 			last = x.at
 		}
@@ -136,7 +137,10 @@
 		return time.Time{}
 	}
 	delay, trials := trialDelay, t.l[i].Trials
-	if len(k.Segments) == 0 {
+	if t.l[i].burst && trials == 0 {
+		return t.l[i].CrashedAt.Add(burstTrialDelay)
+	}
+	if len(k.Segments) == 0 && !t.l[i].burst {
 		trials++
 	}
 	for range min(trials, maxTrialCrashes) {
--- a/core/suspect/search.go
+++ b/core/suspect/search.go
@@ -26,8 +26,9 @@
 // were explained, so that the work grows with what is recorded and not with its product with the culprits.
 type search struct {
 	crashes   []*crash
-	groups    []int  // of crashes, see grouped
-	explained []bool // crashes that a culprit explains
+	groups    []int       // of crashes, see grouped
+	sizes     map[int]int // of groups, in crashes
+	explained []bool      // crashes that a culprit explains
 	ids       func(Request) []uint64
 	sightings map[uint64][]sighting // by segment or fingerprint, in the order of crashes
 }
@@ -37,7 +38,7 @@
 
 // newSearch returns a search for what ids returns of each request.
 func newSearch(crashes []*crash, gap time.Duration, ids func(Request) []uint64) *search {
-	s := &search{crashes: crashes, explained: make([]bool, len(crashes)), ids: ids, sightings: map[uint64][]sighting{}}
+	s := &search{crashes: crashes, explained: make([]bool, len(crashes)), sizes: map[int]int{}, ids: ids, sightings: map[uint64][]sighting{}}
 	for group, x := range grouped(crashes, gap) {
 		for i, r := range x.requests {
 			for _, id := range ids(r) {
@@ -45,6 +46,7 @@
 			}
 		}
 		s.groups = append(s.groups, group)
+		s.sizes[group]++
 	}
 	return s
 }
@@ -115,6 +117,12 @@
 
 // tally counts the crashes that a segment or a request was in and that are not explained.
 func (s *search) tally(id uint64) tally {
+	return s.tallyBy(id, func(crash int) (int, bool) { return s.groups[crash], false })
+}
+
+// tallyBy is tally with other groups: groupOf returns the number, from 1 on, of that of a crash, and whether it is a
+// burst; see tally.add.
+func (s *search) tallyBy(id uint64, groupOf func(crash int) (group int, burst bool)) tally {
 	t := tally{byRequest: map[uint64]int{}}
 	last := -1
 	for _, x := range s.sightings[id] {
@@ -123,7 +131,8 @@
 		}
 		t.byRequest[s.crashes[x.crash].requests[x.request].Fingerprint]++
 		if x.crash != last {
-			t.add(s.groups[x.crash], s.crashes[x.crash])
+			group, burst := groupOf(x.crash)
+			t.add(group, s.crashes[x.crash], burst)
 			last = x.crash
 		}
 	}
@@ -207,7 +216,12 @@
 		return Culprit{}, false
 	}
 	t := s.tally(fingerprint)
-	return Culprit{Fingerprint: fingerprint, Crashes: t.crashes, groups: t.groups}, t.groups >= poisonThreshold
+	k := Culprit{Fingerprint: fingerprint, Crashes: t.crashes, groups: t.groups}
+	if t.groups >= poisonThreshold {
+		return k, true
+	}
+	k.burst = s.burstTally(fingerprint).groups >= poisonThreshold
+	return k, k.burst
 }
 
 // bestRequest returns the request with the most crashes.
--- a/core/suspect/trial.go
+++ b/core/suspect/trial.go
@@ -4,7 +4,7 @@
 // So one request is let through for all nodes some time after the culprit's last crash. A response clears the
 // culprit; a crash confirms it, and the next trial is far later. One node, the arbiter, grants the trials.
 // A request that is a culprit by itself is tried as late as if a trial had crashed a server: only its copies
-// are refused for it.
+// are refused for it. One that only bursts have shown is tried earlier; see burst.go.
 
 import (
 	"slices"
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -24,8 +24,6 @@
 	defaultTimeout = 30 * time.Second
 	// defaultMaxBody is the bound of a request body in bytes if the configuration sets none.
 	defaultMaxBody = 4 << 20
-	// retryAfterPoison is the Retry-After of a request that crashes servers.
-	retryAfterPoison = 10 * time.Second
 	// retryAfterStarting is the Retry-After of a node that has not read its configuration
 	// yet.
 	retryAfterStarting = 500 * time.Millisecond
--- a/io/proxy/suspect.go
+++ b/io/proxy/suspect.go
@@ -57,7 +57,7 @@
 		q.report(g, placement.RunAbandoned)
 	}
 	q.log("poison", zap.Uint64("fingerprint", k.Fingerprint), zap.Strings("segments", k.SegmentNames()), zap.Int("crashes", k.Crashes))
-	q.fail(errPoison.Error(), retryAfterPoison)
+	q.fail(errPoison.Error(), k.RetryAfter())
 	return true
 }
 
