io/proxy: a request that is whole only late in the grace of a planned stop is refused

Shown by TestRequestsLateInGrace before the change: a request whose head came 2.5 s after the stop and its body 6.5 s after it was passed on. A stream was cut 1.05 s later, one that may not run twice ran and got 502. Cause: a node decided whether it takes a request when the head came. Fix: from 3 s after the stop on, when the load balancer sends nothing new, a request that was just read is refused at once. Those that are whole earlier are served, as the test shows. A request whose head comes later was not read before either (net/http).

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -237,7 +237,7 @@
 		Guard: n.serverGuard.guard, HoldOff: n.serverGuard.holdOff,
 		CountFirst: n.requestRetries.countFirst, TakeRetry: n.requestRetries.takeRetry,
 		Suspects: &n.crashes, OnBroken: n.onBroken, OnResponse: n.onResponse, OnSuccess: n.onSuccess, TakeTrial: n.takeTrial, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
-		EndPlacements: n.drain.placements, EndRequests: n.drain.requests,
+		EndArrivals: n.drain.arrivals, EndPlacements: n.drain.placements, EndRequests: n.drain.requests,
 	}
 	return &http.Server{
 		Addr: n.Settings.Callers, Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// acceptAfterStop is how long a stopping node still accepts connections: the load balancer
+	// acceptAfterStop is how long a stopping node still accepts connections and requests: the load balancer
 	// stops sending requests after two failed probes, a second apart.
 	acceptAfterStop = 3 * time.Second
 	// stopMargin is the time between the deadline for requests and the end of the grace
@@ -28,12 +28,13 @@
 
 // drain holds the contexts that end while a node stops.
 type drain struct {
-	placements, requests       context.Context
-	endPlacements, endRequests context.CancelFunc
+	arrivals, placements, requests          context.Context
+	endArrivals, endPlacements, endRequests context.CancelFunc
 }
 
 func newDrain() drain {
 	var d drain
+	d.arrivals, d.endArrivals = context.WithCancel(context.Background())
 	d.placements, d.endPlacements = context.WithCancel(context.Background())
 	d.requests, d.endRequests = context.WithCancel(context.Background())
 	return d
@@ -41,6 +42,7 @@
 
 // close releases the contexts.
 func (d *drain) close() {
+	d.endArrivals()
 	d.endPlacements()
 	d.endRequests()
 }
@@ -71,6 +73,7 @@
 	n.scheduler.handOver() // before the call to the store, which may not respond
 	n.unregister(work)
 	wait.Sleep(work, acceptAfterStop)
+	n.drain.endArrivals()
 	c, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := callers.Shutdown(c); err != nil {
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -98,11 +98,12 @@
 	Sample func(id string) bool
 	// Stopping reports whether callers' connections are to be closed after the response.
 	Stopping func() bool
-	// EndPlacements ends before the process does: requests that still wait for a placement are
-	// then refused. EndRequests ends after it: all others then get their final response.
-	EndPlacements, EndRequests context.Context
-	Log                        *zap.Logger
-	Balancer                   relay.Balancer
+	// EndArrivals, EndPlacements and EndRequests end one after the other before the process does. Requests that have
+	// not been read yet are refused from the first on, as they might last longer than the process; those that wait for
+	// a placement from the second on. At the third, all others get their final response.
+	EndArrivals, EndPlacements, EndRequests context.Context
+	Log                                     *zap.Logger
+	Balancer                                relay.Balancer
 }
 
 // request is a caller's request in progress.
@@ -143,6 +144,10 @@
 	if !q.read(r) {
 		return
 	}
+	if s.EndArrivals.Err() != nil {
+		q.fail(errStopping.Error(), retryAfterBusy)
+		return
+	}
 	ctx, end := context.WithCancelCause(r.Context())
 	defer end(nil)
 	defer context.AfterFunc(s.EndRequests, func() { end(errStopping) })()
