--- a/core/placement/occupants_test.go
+++ b/core/placement/occupants_test.go
@@ -8,10 +8,13 @@
 	"bergamotspring/core/relay"
 )
 
-// tell has a server's process tell its start, before its entry does.
-func (b *harness) tell(id string, startedAt int64) {
+// nextStart is the start of a process that tells it before its entry does.
+const nextStart = 7
+
+// tell has the next process of a server tell its start.
+func (b *harness) tell(id string) {
 	s := b.server(id)
-	b.scheduler.ObserveProcess(s.Address, relay.Process{ID: id, StartedAt: startedAt})
+	b.scheduler.ObserveProcess(s.Address, relay.Process{ID: id, StartedAt: nextStart})
 	b.advance(25 * time.Millisecond)
 }
 
@@ -39,16 +42,16 @@
 	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
 	b.submit("1", 2, mebibyte, twoStages)
 	b.completeOn("encode-a")
-	b.tell("encode-a", 7)
-	b.want("process of the batch", b.batches[1].Server.StartedAt, int64(7))
+	b.tell("encode-a")
+	b.want("process of the batch", b.batches[1].Server.StartedAt, int64(nextStart))
 	for range 2 { // while the entry is old, and when it is no longer
 		b.servers = slices.Clone(b.servers)
 		b.advance(25 * time.Millisecond)
-		b.want("process of the batch in progress", b.batches[1].Server.StartedAt, int64(7))
+		b.want("process of the batch in progress", b.batches[1].Server.StartedAt, int64(nextStart))
 	}
 	b.completeOn("encode-a")
 	s := *b.server("encode-a")
-	s.StartedAt = 7
+	s.StartedAt = nextStart
 	b.servers[slices.Index(b.servers, b.server("encode-a"))] = &s
 	b.advance(25 * time.Millisecond)
 	b.completeOn("rank-a")
@@ -59,7 +62,7 @@
 func TestEntryAfterToldProcess(t *testing.T) {
 	b := newHarness(t)
 	b.keepServers("encode-a", "rank-a", "model-a")
-	b.tell("encode-a", 7)
+	b.tell("encode-a")
 	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
 	b.submit("1", 2, mebibyte, twoStages)
 	b.completeOn("encode-a")
@@ -75,10 +78,10 @@
 // servers do.
 func TestNextProcessWaitsForReaders(t *testing.T) {
 	for name, next := range map[string]func(b *harness) (id string){
-		"same id": func(b *harness) string { b.tell("encode-a", 7); return "encode-a" },
+		"same id": func(b *harness) string { b.tell("encode-a"); return "encode-a" },
 		"another id": func(b *harness) string {
 			s := *b.server("encode-a")
-			s.ID, s.StartedAt = "encode-x", 7
+			s.ID, s.StartedAt = "encode-x", nextStart
 			b.servers = append(slices.DeleteFunc(b.servers, func(s *relay.Server) bool { return s.ID == "encode-a" }), &s)
 			return s.ID
 		},
@@ -122,7 +125,7 @@
 		b.keepServers("encode-a", "rank-a", "model-a")
 		b.submit("1", 2, mebibyte, twoStages)
 		b.completeOn("encode-a")
-		b.tell("encode-a", 7)
+		b.tell("encode-a")
 		b.want("batches at the next process", b.batchesOn("encode-a"), 0)
 		reading := b.batches[0]
 		b.batches = nil
@@ -142,7 +145,7 @@
 	b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: "model-a", Status: RunStarted})
 	b.collect()
 	b.want("releases", len(b.releases), 1)
-	b.tell("encode-a", 7)
+	b.tell("encode-a")
 	b.submit("2", 1, 1000, nil)
 	b.want("batches before the release ended", b.batchesOn("encode-a"), 0)
 	b.scheduler.OnRelease(b.releases[0].Number, MessageFailed)
@@ -160,12 +163,12 @@
 	b.submit("1", 2, mebibyte, twoStages)
 	b.completeOn("encode-a")
 	s := *b.server("encode-a")
-	s.ID, s.StartedAt = "encode-x", 7
+	s.ID, s.StartedAt = "encode-x", nextStart
 	b.servers = append(slices.Clone(b.servers), &s)
 	b.submit("2", 8, 1000, nil)
 	b.submit("3", 8, 1000, nil)
 	b.want("batches at the new server", b.batchesOn("encode-x"), 0)
-	b.tell("encode-x", 7)
+	b.tell("encode-x")
 	b.completeOn("encode-a") // a process at the address still answers to the old id, as its entry is there
 	b.want("batches at the new server", b.batchesOn("encode-x"), 1)
 }
--- a/io/edge/restarted_test.go
+++ b/io/edge/restarted_test.go
@@ -15,11 +15,11 @@
 
 const slowBatch = 1300 * time.Millisecond
 
-// startAnew crashes a stage server and starts another process at its address. No entry tells yet.
-func (w *testFleet) startAnew(s *platformstandin.Server, service, id string) *platformstandin.Server {
+// startAnew crashes a server of the first stage and starts another process at its address. No entry tells yet.
+func (w *testFleet) startAnew(s *platformstandin.Server, id string) *platformstandin.Server {
 	w.net.SetHost(hostOf(s.Address), standin.HostRefuses)
 	w.results.Restart(s)
-	p := w.newServer(service, id, s.Address)
+	p := w.newServer("encode", id, s.Address)
 	p.Started = time.Now()
 	w.processes.Store(s.Address, p)
 	w.net.SetHost(hostOf(s.Address), standin.HostUp)
@@ -44,7 +44,7 @@
 	for _, id := range []string{"encode-a", "encode-c", "rank-a", "rank-c"} {
 		w.store.Remove("servers", id)
 	}
-	s := w.startAnew(w.servers["encode-b"], "encode", "encode-b")
+	s := w.startAnew(w.servers["encode-b"], "encode-b")
 	w.register(s, "encode", "b", "ready", 0)
 	w.servers["rank-b"].BatchTime = slowBatch
 	time.Sleep(time.Second)
@@ -56,14 +56,14 @@
 // results of another one, and both are served.
 func TestHandlesGivenOutAgain(t *testing.T) {
 	for name, restart := range map[string]func(*testFleet, *platformstandin.Server){
-		"same id": func(w *testFleet, s *platformstandin.Server) { w.startAnew(s, "encode", s.ID) },
+		"same id": func(w *testFleet, s *platformstandin.Server) { w.startAnew(s, s.ID) },
 		"another id at its address": func(w *testFleet, s *platformstandin.Server) {
-			w.register(w.startAnew(s, "encode", "encode-x"), "encode", "b", "ready", 0)
+			w.register(w.startAnew(s, "encode-x"), "encode", "b", "ready", 0)
 			w.store.Remove("servers", s.ID)
 			time.Sleep(50 * time.Millisecond)
 		},
 		"another id beside its entry": func(w *testFleet, s *platformstandin.Server) {
-			w.register(w.startAnew(s, "encode", "encode-x"), "encode", "b", "ready", 0)
+			w.register(w.startAnew(s, "encode-x"), "encode", "b", "ready", 0)
 			time.Sleep(50 * time.Millisecond)
 		},
 	} {
--- a/io/exchange/handshake.go
+++ b/io/exchange/handshake.go
@@ -72,7 +72,7 @@
 	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
 	w := c.startWrite(h.Request.bytes())
-	a, err := w.readResponse(c, h.Request)
+	a, err := w.readResponse(c, h.Request) //nolint:bodyclose // it is read whole, or the connection is closed
 	if err != nil {
 		return false, err
 	}
