Stage servers: a witness proves which process a connection leads to where its state does not tell

Cause: the handshake relied on the start in a stage server's state. Change: a second connection, opened before a batch that was answered and never used, has to respond after a new connection was opened; then both lead to one process. Without that, and while results are in use, the batch is not sent, and the results are made again.

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -3,7 +3,10 @@
 // This file defines how the end of a batch is handled: what it shows about the server, and
 // what happens to the tasks.
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// rejectedBackoff is the backoff of a server that rejected a batch or had no capacity
@@ -32,14 +35,15 @@
 	}
 	h.observeBatch(c, status)
 	if status != BatchDone || len(results) != len(c.tasks) || c.stageServer.lost {
-		results = make([]TaskResult, len(c.tasks))
-		for i := range results {
-			results[i].Status = TaskError
+		failure := TaskResult{Status: TaskError}
+		if status == BatchReplaced {
+			failure.Status = TaskUnsent
 		}
+		results = slices.Repeat([]TaskResult{failure}, len(c.tasks))
 	}
 	// A batch that was rejected, refused, not sent or reached another server is taken as not run,
 	// and does not count towards a job's maxTaskRetries. One without a usable response counts.
-	// The service's retry budget is charged either way.
+	// The service's retry budget is charged either way, but for BatchReplaced.
 	counted := status == BatchDone || status == BatchBroken
 	for i, p := range c.tasks {
 		h.onTaskResult(c, p, results[i], counted)
@@ -73,7 +77,23 @@
 	case BatchMoved, BatchRefused:
 		h.backOff(m)
 		h.replaceStageServer(c.pool, m, m.server)
+	case BatchReplaced:
+		h.replaceStageServer(c.pool, m, m.server)
+	}
+}
+
+// OnProcess records which process a batch was sent to, by a name that no other process has.
+func (h *Scheduler) OnProcess(number uint64, process string) {
+	h.init()
+	c := h.batches[number]
+	if c == nil || process == "" || c.stageServer.lost {
+		return
+	}
+	if m := c.stageServer; m.process != "" && m.process != process { // of two batches at the same time
+		h.replaceStageServer(c.pool, m, m.server)
+		return
 	}
+	c.stageServer.process = process
 }
 
 // backOff keeps batches from a server for a time that doubles with each failure in a row.
@@ -115,6 +135,8 @@
 		h.refuse(p.job, ReasonLate, h.retryAfter(p.job))
 	case TaskInputLost:
 		h.restartStages(p.job)
+	case TaskUnsent:
+		c.pool.queue.push(p)
 	case TaskNoCapacity:
 		m.backoffUntil = h.Now().Add(rejectedBackoff)
 		c.pool.queue.push(p)
--- a/core/placement/occupants.go
+++ b/core/placement/occupants.go
@@ -61,12 +61,18 @@
 	return false
 }
 
-// ObserveProcess records which process answered at an address. Other processes that were known to listen there have
-// ended. The start of p must be known.
+// holds reports whether results of a server are stored or being made, as far as the scheduler knows, or still read.
+func (h *Scheduler) holds(m *stageServer) bool {
+	return m.reserved > 0 || m.batches > 0 || m.isRead(h.Now()) || h.usesResults(m)
+}
+
+// ObserveProcess records which process answered at an address, with start 0 if only its server is known. Other
+// processes that were known to listen there have ended.
 func (h *Scheduler) ObserveProcess(address string, p relay.Process) {
 	h.init()
 	for _, m := range slices.Clone(h.occupants[address]) {
-		if h.isCurrent(m) && m.server.Process() != p {
+		same := m.server.ID == p.ID && (p.StartedAt == 0 || m.server.StartedAt == p.StartedAt)
+		if h.isCurrent(m) && !same {
 			h.observeReplacement(h.pool(m.server.Service), m, p)
 		}
 	}
--- a/core/placement/occupants_test.go
+++ b/core/placement/occupants_test.go
@@ -11,15 +11,16 @@
 // nextStart is the start of a process that tells it before its entry does.
 const nextStart = 7
 
-// tell has the next process of a server tell its start.
-func (b *harness) tell(id string) {
-	s := b.server(id)
-	b.scheduler.ObserveProcess(s.Address, relay.Process{ID: id, StartedAt: nextStart})
+// tellStart has the next process of encode-a tell its start.
+func (b *harness) tellStart() {
+	s := b.encodeA()
+	b.scheduler.ObserveProcess(s.Address, relay.Process{ID: s.ID, StartedAt: nextStart})
 	b.advance(25 * time.Millisecond)
 }
 
-func (b *harness) server(id string) *relay.Server {
-	i := slices.IndexFunc(b.servers, func(s *relay.Server) bool { return s.ID == id })
+// encodeA returns the entry of encode-a.
+func (b *harness) encodeA() *relay.Server {
+	i := slices.IndexFunc(b.servers, func(s *relay.Server) bool { return s.ID == "encode-a" })
 	return b.servers[i]
 }
 
@@ -42,7 +43,7 @@
 	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
 	b.submit("1", 2, mebibyte, twoStages)
 	b.completeOn("encode-a")
-	b.tell("encode-a")
+	b.tellStart()
 	b.want("process of the batch", b.batches[1].Server.StartedAt, int64(nextStart))
 	for range 2 { // while the entry is old, and when it is no longer
 		b.servers = slices.Clone(b.servers)
@@ -50,9 +51,9 @@
 		b.want("process of the batch in progress", b.batches[1].Server.StartedAt, int64(nextStart))
 	}
 	b.completeOn("encode-a")
-	s := *b.server("encode-a")
+	s := *b.encodeA()
 	s.StartedAt = nextStart
-	b.servers[slices.Index(b.servers, b.server("encode-a"))] = &s
+	b.servers[slices.Index(b.servers, b.encodeA())] = &s
 	b.advance(25 * time.Millisecond)
 	b.completeOn("rank-a")
 	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/1", "encodea:1/2")
@@ -62,12 +63,12 @@
 func TestEntryAfterToldProcess(t *testing.T) {
 	b := newHarness(t)
 	b.keepServers("encode-a", "rank-a", "model-a")
-	b.tell("encode-a")
+	b.tellStart()
 	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
 	b.submit("1", 2, mebibyte, twoStages)
 	b.completeOn("encode-a")
 	b.restart("encode-a")
-	b.want("process of the batch", b.batches[1].Server.StartedAt, b.server("encode-a").StartedAt)
+	b.want("process of the batch", b.batches[1].Server.StartedAt, b.encodeA().StartedAt)
 	b.completeOn("encode-a")
 	b.completeOn("rank-a")
 	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/1", "encodea:1/2")
@@ -78,9 +79,9 @@
 // servers do.
 func TestNextProcessWaitsForReaders(t *testing.T) {
 	for name, next := range map[string]func(b *harness) (id string){
-		"same id": func(b *harness) string { b.tell("encode-a"); return "encode-a" },
+		"same id": func(b *harness) string { b.tellStart(); return "encode-a" },
 		"another id": func(b *harness) string {
-			s := *b.server("encode-a")
+			s := *b.encodeA()
 			s.ID, s.StartedAt = "encode-x", nextStart
 			b.servers = append(slices.DeleteFunc(b.servers, func(s *relay.Server) bool { return s.ID == "encode-a" }), &s)
 			return s.ID
@@ -125,7 +126,7 @@
 		b.keepServers("encode-a", "rank-a", "model-a")
 		b.submit("1", 2, mebibyte, twoStages)
 		b.completeOn("encode-a")
-		b.tell("encode-a")
+		b.tellStart()
 		b.want("batches at the next process", b.batchesOn("encode-a"), 0)
 		reading := b.batches[0]
 		b.batches = nil
@@ -145,7 +146,7 @@
 	b.scheduler.OnReport(Report{Key: Key{ID: "1"}, Server: "model-a", Status: RunStarted})
 	b.collect()
 	b.want("releases", len(b.releases), 1)
-	b.tell("encode-a")
+	b.tellStart()
 	b.submit("2", 1, 1000, nil)
 	b.want("batches before the release ended", b.batchesOn("encode-a"), 0)
 	b.scheduler.OnRelease(b.releases[0].Number, MessageFailed)
@@ -162,13 +163,75 @@
 	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
 	b.submit("1", 2, mebibyte, twoStages)
 	b.completeOn("encode-a")
-	s := *b.server("encode-a")
+	s := *b.encodeA()
 	s.ID, s.StartedAt = "encode-x", nextStart
 	b.servers = append(slices.Clone(b.servers), &s)
 	b.submit("2", 8, 1000, nil)
 	b.submit("3", 8, 1000, nil)
 	b.want("batches at the new server", b.batchesOn("encode-x"), 0)
-	b.tell("encode-x")
+	b.scheduler.ObserveProcess(s.Address, relay.Process{ID: "encode-x"})
+	b.advance(25 * time.Millisecond)
 	b.completeOn("encode-a") // a process at the address still answers to the old id, as its entry is there
 	b.want("batches at the new server", b.batchesOn("encode-x"), 1)
 }
+
+// A batch is sent only to the process that has the results in use. If that cannot be proven, they are made again, and
+// the tasks of the batch cost no retry.
+func TestBatchOfUnprovenProcess(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "rank-a", "model-a")
+	retries := 0
+	b.scheduler.TakeRetry = func(string) bool { retries++; return true }
+	b.submit("0", 1, 1000, func(a *Request) { a.Stages[0].Service = "rank" })
+	b.submit("1", 2, mebibyte, twoStages)
+	c := b.batches[1]
+	b.want("process of the first batch", c.Process, "")
+	b.scheduler.OnProcess(c.Number, "p1")
+	b.completeOn("encode-a")
+	b.submit("2", 6, 1000, nil)
+	c = b.batches[1]
+	b.want("process of the next batch", c.Process, "p1")
+	b.batches = b.batches[:1]
+	b.scheduler.OnBatch(c.Number, BatchReplaced, nil)
+	b.collect()
+	b.want("retries", retries, 0)
+	c = b.batches[1]
+	b.want("process of the batch after that", c.Process, "")
+	b.want("its tasks, those of both requests", len(c.Tasks), 8)
+	b.scheduler.OnProcess(c.Number, "p2")
+	b.completeOn("encode-a")
+	b.completeOn("rank-a")
+	b.wantInputs("the second stage", b.completeOn("rank-a").Inputs, 2, "encodea:1/1", "encodea:1/2")
+}
+
+// Nothing is in use at a server: it gets a batch whichever process listens there, and is not taken for another one.
+func TestBatchOfIdleServer(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "model-a")
+	for _, p := range []string{"p1", "p2"} {
+		b.submit(p, 2, mebibyte, nil)
+		b.want("process of the batch", b.batches[0].Process, "")
+		b.scheduler.OnProcess(b.batches[0].Number, p)
+		b.completeOn("encode-a")
+		b.scheduler.OnReport(Report{Key: Key{ID: p}, Server: "model-a", Status: RunStarted})
+		b.collect()
+		b.scheduler.OnRelease(b.releases[len(b.releases)-1].Number, MessageDone)
+		b.collect()
+	}
+	b.want("decisions", len(b.decisions), 2)
+}
+
+// Two batches at the same time reach two processes of a server: the results of the first one are made again.
+func TestBatchesOfTwoProcesses(t *testing.T) {
+	b := newHarness(t)
+	b.keepServers("encode-a", "model-a")
+	b.config.Services["encode"].Batching.Concurrency = 2
+	b.submit("1", 2, mebibyte, nil)
+	b.submit("2", 2, mebibyte, nil)
+	for i, c := range b.batches[:2] {
+		b.scheduler.OnProcess(c.Number, []string{"p1", "p2"}[i])
+	}
+	b.completeBatch()
+	b.completeBatch()
+	b.want("decisions on results of two processes", len(b.decisions), 0)
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -151,6 +151,7 @@
 type Batch struct {
 	Number  uint64
 	Server  relay.Server
+	Process string // the only one that may get it, see OnProcess; empty: any
 	Tasks   []Task
 	Queued  int           // tasks left in the queue
 	Timeout time.Duration // after which the server counts as silent
@@ -208,6 +209,7 @@
 	BatchRefused                     // no process listens at the address
 	BatchUnsent                      // the server could not be reached
 	BatchBroken                      // no usable response: connection lost, silent, unreadable, or another status
+	BatchReplaced                    // not sent: another process of the server listens at the address, or may
 )
 
 // TaskStatus says how a task ended.
@@ -220,6 +222,7 @@
 	TaskInputLost             // an input no longer exists
 	TaskNoCapacity            // no capacity for the result
 	TaskError                 // the server failed on it
+	TaskUnsent                // its batch was not sent
 )
 
 // Report tells the scheduler about the run of a granted request.
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -64,6 +64,7 @@
 	unregistered   bool      // its entry is gone; kept to tell whether the same process returns
 	outdated       *int64    // start in an entry that is older than what the process itself told; nil: none
 	readers        map[reader]time.Time
+	process        string // that got its batches, see OnProcess; empty: none did yet
 }
 
 // unusedResult is a stored result that is no longer needed.
@@ -392,10 +393,13 @@
 func (h *Scheduler) startBatch(q *stagePool, m *stageServer, l []*task, w *relay.BatchSpec) {
 	h.lastNumber++
 	expected := time.Duration(float64(w.BatchTime+time.Duration(len(l))*w.TaskTime) * max(1, m.timeRatio))
+	if !h.holds(m) {
+		m.process = ""
+	}
 	c := &batch{stageServer: m, pool: q, tasks: l, started: h.Now(), expected: expected}
 	h.batches[h.lastNumber] = c
 	m.batches++
-	k := Batch{Number: h.lastNumber, Server: *m.server, Queued: q.queue.tasks, Timeout: batchTimeoutFactor*expected + batchTimeoutSlack}
+	k := Batch{Number: h.lastNumber, Server: *m.server, Process: m.process, Queued: q.queue.tasks, Timeout: batchTimeoutFactor*expected + batchTimeoutSlack}
 	for _, p := range l {
 		p.stageServer = m
 		p.stage.inBatch++
--- a/io/edge/restarted_test.go
+++ b/io/edge/restarted_test.go
@@ -20,15 +20,15 @@
 	w.net.SetHost(hostOf(s.Address), standin.HostRefuses)
 	w.results.Restart(s)
 	p := w.newServer("encode", id, s.Address)
-	p.Started = time.Now()
+	p.Started, p.HidesStart = time.Now(), s.HidesStart
 	w.processes.Store(s.Address, p)
 	w.net.SetHost(hostOf(s.Address), standin.HostUp)
 	return p
 }
 
 // onlyStages lets requests use one server of each stage, whose stages need no other. It returns that of the first
-// stage, whose start is known; the other one takes slowBatch for a batch.
-func (w *testFleet) onlyStages() *platformstandin.Server {
+// stage, whose entry tells its start, and its state too unless hideStart is set; the other one takes slowBatch for a batch.
+func (w *testFleet) onlyStages(hideStart bool) *platformstandin.Server {
 	w.configure(2, func(c map[string]any) {
 		l := c["services"].([]any)
 		rank := maps.Clone(l[2].(map[string]any))
@@ -44,6 +44,7 @@
 	for _, id := range []string{"encode-a", "encode-c", "rank-a", "rank-c"} {
 		w.store.Remove("servers", id)
 	}
+	w.servers["encode-b"].HidesStart = hideStart
 	s := w.startAnew(w.servers["encode-b"], "encode-b")
 	w.register(s, "encode", "b", "ready", 0)
 	w.servers["rank-b"].BatchTime = slowBatch
@@ -52,8 +53,8 @@
 }
 
 // A stage server ends and starts again while a request waits that has results there; its entry tells so much later, or
-// is replaced by that of another server at the address. The handles are given out again: no request runs with the
-// results of another one, and both are served.
+// is replaced by that of another server at the address; its state may not tell it at all. The handles are given out again:
+// no request runs with the results of another one, and both are served.
 func TestHandlesGivenOutAgain(t *testing.T) {
 	for name, restart := range map[string]func(*testFleet, *platformstandin.Server){
 		"same id": func(w *testFleet, s *platformstandin.Server) { w.startAnew(s, s.ID) },
@@ -67,25 +68,25 @@
 			time.Sleep(50 * time.Millisecond)
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
+		for _, hideStart := range []bool{false, true} {
 			runFleet(t, func(w *testFleet) {
-				s := w.onlyStages()
+				s := w.onlyStages(hideStart)
 				for _, id := range []string{"first", "second"} { // after which the first handle is forgotten
 					w.stream("a1", "/draft/x", id, "X-Bergamotspring-Chunks", "2,1")
 					time.Sleep(marksForgotten)
 				}
 				var g sync.WaitGroup
 				g.Go(func() {
-					w.wantStream(w.stream("a1", "/draft/x", "waits", "X-Bergamotspring-Chunks", "2,1"), "the request that waits")
+					w.wantStream(w.stream("a1", "/draft/x", "waits", "X-Bergamotspring-Chunks", "2,1"), "the request that waits: %s, start hidden: %v", name, hideStart)
 				})
 				time.Sleep(400 * time.Millisecond)
 				restart(w, s)
-				w.wantStream(w.stream("a1", "/draft/x", "next", "X-Bergamotspring-Chunks", "8,1"), "the next request")
+				w.wantStream(w.stream("a1", "/draft/x", "next", "X-Bergamotspring-Chunks", "8,1"), "the next request: %s, start hidden: %v", name, hideStart)
 				g.Wait()
 				if l := w.results.ForeignInputs; len(l) > 0 {
-					t.Errorf("inputs of other requests: %v", l)
+					t.Errorf("%s, start hidden: %v: inputs of other requests: %v", name, hideStart, l)
 				}
 			})
-		})
+		}
 	}
 }
--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -181,8 +181,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
 	start := time.Now()
-	outcome, l, err := h.exchangeBatch(ctx, c)
-	var counts [placement.TaskError + 1]int
+	var process string
+	outcome, l, err := h.exchangeBatch(ctx, c, func(name string) { process = name })
+	var counts [placement.TaskUnsent + 1]int
 	for _, r := range l {
 		counts[r.Status]++
 	}
@@ -194,29 +195,30 @@
 		zap.Duration("took", took), zap.Uint8("end", uint8(outcome)), zap.Error(err))
 	started := platform.StageProcessStart(err)
 	h.do(func(p *placement.Scheduler) {
-		h.observeProcess(p, &c.Server, started)
+		if started != 0 {
+			h.observeProcess(p, &c.Server, started)
+		}
+		p.OnProcess(c.Number, process)
 		p.OnBatch(c.Number, outcome, l)
 	})
 }
 
-// observeProcess passes on the start of the process that answered in a stage server's place, 0 if it is not known. The
-// lock is held.
+// observeProcess passes on which process answered in a stage server's place, by its start, 0 if it is not known. The lock
+// is held.
 func (h *scheduler) observeProcess(p *placement.Scheduler, s *relay.Server, startedAt int64) {
-	if startedAt == 0 {
-		return
-	}
-	if startedAt != s.StartedAt {
+	if startedAt != 0 && startedAt != s.StartedAt {
 		h.log.Info("stage_server_replaced", zap.String("server", s.ID), zap.Int64("process", s.StartedAt), zap.Int64("next", startedAt))
 	}
 	p.ObserveProcess(s.Address, relay.Process{ID: s.ID, StartedAt: startedAt})
 }
 
-func (h *scheduler) exchangeBatch(ctx context.Context, c *placement.Batch) (placement.BatchStatus, []placement.TaskResult, error) {
+// exchangeBatch sends a batch and returns its results. It calls onProcess with the name of the process that gets it.
+func (h *scheduler) exchangeBatch(ctx context.Context, c *placement.Batch, onProcess func(string)) (placement.BatchStatus, []placement.TaskResult, error) {
 	q, err := platform.StageBatch(c)
 	if err != nil {
 		return placement.BatchBroken, nil, err
 	}
-	q.Guard = h.guard.guard(&c.Server)
+	q.Guard, q.OnProcess = h.guard.guard(&c.Server), onProcess
 	var l []placement.TaskResult
 	status, _, err := h.pool.Whole(ctx, q, maxStageResponse, func(status int, b []byte) (mark string, err error) {
 		if status == http.StatusOK {
@@ -229,7 +231,9 @@
 	switch {
 	case errors.Is(err, relay.ErrHeldOff):
 		return placement.BatchRejected, nil, err
-	case errors.As(err, &o):
+	case errors.Is(err, exchange.ErrUnproven), errors.As(err, &o) && o.Process != "":
+		return placement.BatchReplaced, nil, err
+	case o != nil:
 		return placement.BatchMoved, nil, err
 	case errors.As(err, &u) && u.Refused:
 		return placement.BatchRefused, nil, err
@@ -293,11 +297,10 @@
 	if outcome != placement.MessageDone {
 		h.log.Warn("look_failed", zap.String("server", l.Server.ID), zap.Int("status", status), zap.Error(err))
 	}
-	if outcome != placement.MessageDone {
-		started = 0
-	}
 	h.do(func(p *placement.Scheduler) {
-		h.observeProcess(p, &l.Server, started)
+		if outcome == placement.MessageDone {
+			h.observeProcess(p, &l.Server, started)
+		}
 		p.OnCapacity(l.Number, outcome, free)
 	})
 }
--- a/io/edge/soak_test.go
+++ b/io/edge/soak_test.go
@@ -161,6 +161,7 @@
 	}
 	p := s.newServer(service, id, address)
 	p.Injector, p.Started, p.RetryAfter = &s.injector, time.Now(), []string{"", "0.3", "1"}[s.last%3]
+	p.HidesStart = s.seed%2 == 1
 	if service == "plain" && s.last%4 == 0 {
 		p.Size = largeBody
 	}
--- a/io/exchange/conn.go
+++ b/io/exchange/conn.go
@@ -22,9 +22,8 @@
 	interchangeable bool
 	seen            ids
 
-	shaken   bool   // its handshake was answered
-	process  string // that answered; empty: unknown
-	greeting []byte // body of that response
+	identity identity // of the process that it leads to
+	greeting []byte   // body of the response to its handshake; nil: there was none
 }
 
 // isNew adds the mark of a response to r to the known ones, and returns false if it was known. A connection knows its
@@ -42,9 +41,9 @@
 
 // mayCarry reports whether a request may be sent on a connection that was used before: its requests had
 // their ids in the same header, if any, and none had that of r. A copy of an earlier response is then
-// told from that to r. The connection leads to the process of r, if it had a handshake.
+// told from that to r. The connection leads to the process of r, as far as it is known.
 func (c *conn) mayCarry(r *Request) bool {
-	return c.echo == r.Echo && c.interchangeable == r.Interchangeable && !c.seen.has(r.id()) && c.leadsTo(r.Process)
+	return c.echo == r.Echo && c.interchangeable == r.Interchangeable && !c.seen.has(r.id()) && (!c.identity.known() || c.identity.check(r) == nil)
 }
 
 // reusable reports whether the connection can be used for another request.
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -48,9 +48,13 @@
 	Interchangeable bool
 	// Process identifies the process at the address, as far as it is known. The next one may use the marks of Whole again.
 	Process string
-	// Handshake, if set, makes sure that the request is sent to Process only. If another one answers it, the error is
-	// an UnsentError with an OtherProcessError.
+	// Handshake, if set, makes sure that the request is sent to Process only, and to Same only if that is set: a name
+	// that OnProcess got for an earlier request. Otherwise the error is an UnsentError with an OtherProcessError or
+	// ErrUnproven.
 	Handshake *Handshake
+	Same      string
+	// OnProcess, if set, is called with the name of the process before the request is sent to it.
+	OnProcess func(name string)
 	Guard     Guard
 }
 
@@ -137,6 +141,9 @@
 		p.put(c)
 		return nil, nil, &UnsentError{Cause: err}
 	}
+	if r.OnProcess != nil {
+		r.OnProcess(c.identity.name)
+	}
 	c.seen.add(r.id())
 	stop := context.AfterFunc(ctx, c.abort)
 	w := c.startWrite(r.bytes())
@@ -191,6 +198,7 @@
 	if err != nil {
 		return 0, nil, &BrokenError{Cause: err}
 	}
+	p.confirmWitness(body.conn)
 	return a.StatusCode, b, nil
 }
 
--- a/io/exchange/handshake.go
+++ b/io/exchange/handshake.go
@@ -1,11 +1,13 @@
 package exchange
 
-// This file defines handshakes: how a client learns which process of a server a connection leads to.
+// This file defines how a pool tells the processes apart that listen at an address one after the other. A connection
+// ends with the process that accepted it, so what is known of a connection holds for all requests on it.
 
 import (
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 )
 
@@ -16,14 +18,16 @@
 	maxHandshakes = 3
 )
 
+// ErrUnproven says that a request was not sent, as the connection may lead to another process than Request.Same.
+var ErrUnproven = errors.New("exchange: maybe another process than before")
+
 var errNoHandshake = errors.New("server closes connections after the handshake")
 
-// Handshake is sent on each new connection before the request that it belongs to. A connection ends with the
-// process that accepted it, so the response holds for all requests on the connection.
+// Handshake is sent on a new connection before the request that it belongs to.
 type Handshake struct {
 	Request *Request // without an Echo header
-	// Identify returns the process that sent the response, "" if the response does not tell. With an error, the
-	// request is not sent.
+	// Identify returns the name of the process that sent the response, "" if the response does not tell. With an
+	// error, the request is not sent.
 	Identify func(status int, b []byte) (process string, err error)
 }
 
@@ -34,8 +38,26 @@
 
 func (e *OtherProcessError) Error() string { return "exchange: other process: " + e.Process }
 
-// getVerified returns a connection for a request like get, after its handshake. Whether the connection leads to
-// the process of the request was checked.
+// identity says which process a connection leads to. The zero value is unknown.
+type identity struct {
+	name string
+	told bool // by the process itself; otherwise the pool has chosen the name
+}
+
+func (i identity) known() bool { return i.name != "" }
+
+// check returns why a request must not be sent to the process, nil if it may.
+func (i identity) check(r *Request) error {
+	if i.told && i.name != r.Process {
+		return &OtherProcessError{Process: i.name}
+	}
+	if r.Same != "" && i.name != r.Same {
+		return ErrUnproven
+	}
+	return nil
+}
+
+// getVerified returns a connection for a request like get. If the request has a handshake, it leads to the right process.
 func (p *Pool) getVerified(ctx context.Context, r *Request) (*conn, error) {
 	for range maxHandshakes {
 		c, err := p.get(ctx, r)
@@ -43,14 +65,18 @@
 			return nil, err
 		}
 		c.echo, c.interchangeable = r.Echo, r.Interchangeable
-		if r.Handshake == nil || c.shaken {
+		if r.Handshake == nil {
 			return c, nil
 		}
-		reusable, err := c.shakeHands(ctx, r)
-		if err == nil && !c.leadsTo(r.Process) {
-			err = &OtherProcessError{Process: c.process}
+		reusable := true
+		if !c.identity.known() {
+			reusable, err = p.identify(ctx, c, r)
+		}
+		if err == nil {
+			err = c.identity.check(r)
 		}
 		if reusable && err == nil {
+			p.keepWitness(ctx, c)
 			return c, nil
 		}
 		if reusable {
@@ -65,29 +91,42 @@
 	return nil, errNoHandshake
 }
 
-// shakeHands sends the handshake of a request and reads the response. It reports whether the connection can be used
-// afterwards.
-func (c *conn) shakeHands(ctx context.Context, r *Request) (reusable bool, err error) {
+// identify finds out which process a new connection leads to: that of the witness, if it still responds, or the one that
+// the handshake tells. It reports whether the connection can be used afterwards.
+func (p *Pool) identify(ctx context.Context, c *conn, r *Request) (reusable bool, err error) {
+	if w := p.takeWitness(c.address); w != nil && w.responds(ctx, r) {
+		c.identity = w.identity
+		return true, nil
+	}
+	reusable, name, err := c.shakeHands(ctx, r)
+	if err != nil {
+		return false, err
+	}
+	c.identity = identity{name: name, told: true}
+	if name == "" {
+		c.identity = identity{name: fmt.Sprint("unnamed ", p.unnamed.Add(1))}
+	}
+	return reusable, nil
+}
+
+// shakeHands sends the handshake of a request, and returns the name in the response. It reports whether the connection
+// can be used afterwards.
+func (c *conn) shakeHands(ctx context.Context, r *Request) (reusable bool, name string, err error) {
 	h := r.Handshake
 	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
 	w := c.startWrite(h.Request.bytes())
 	a, err := w.readResponse(c, h.Request) //nolint:bodyclose // it is read whole, or the connection is closed
 	if err != nil {
-		return false, err
+		return false, "", err
 	}
-	b, process, err := readWhole(a, maxHandshake, h.Identify)
+	b, name, err := readWhole(a, maxHandshake, h.Identify)
 	r.Guard.onHead(a.StatusCode, a.Header)
 	if err != nil {
-		return false, err
+		return false, "", err
 	}
-	c.shaken, c.process, c.greeting = true, process, b
-	return framed(a) && !a.Close && w.complete() && a.StatusCode == http.StatusOK, nil
-}
-
-// leadsTo reports whether the connection leads to a process, as far as its handshake tells.
-func (c *conn) leadsTo(process string) bool {
-	return c.process == "" || c.process == process
+	c.greeting = b
+	return framed(a) && !a.Close && w.complete() && a.StatusCode == http.StatusOK, name, nil
 }
 
 // repeatsHandshake reports whether a body is that of the response to the handshake, which came once more.
--- a/io/exchange/handshake_test.go
+++ b/io/exchange/handshake_test.go
@@ -10,17 +10,25 @@
 
 // verified sends a request to a process after a handshake. Bodies of responses name the process, or are marks.
 func (s *script) verified(process string) (string, error) {
+	_, b, err := s.sendSame(process, "")
+	return b, err
+}
+
+// sendSame is verified for the process with the name same, if that is not empty. It returns the name of the process that got the
+// request.
+func (s *script) sendSame(process, same string) (name, body string, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	r := &Request{
-		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Process: process,
+		Address: address, Method: http.MethodPost, Target: "/x", Host: "h", Process: process, Same: same,
+		OnProcess: func(n string) { name = n },
 		Handshake: &Handshake{
 			Request:  &Request{Address: address, Method: http.MethodGet, Target: "/who", Host: "h"},
 			Identify: func(_ int, b []byte) (string, error) { return string(b), nil },
 		},
 	}
 	_, b, err := s.pool.Whole(ctx, r, 100, func(_ int, b []byte) (string, error) { return string(b), nil })
-	return string(b), err
+	return name, string(b), err
 }
 
 // A request reaches the process that it is meant for only. There is one handshake for each connection.
@@ -36,7 +44,7 @@
 	}{
 		{"the process", "a", []string{okResponse("", "a"), okResponse("", "m1")}, "m1", "", 1},
 		{"another one", "a", []string{okResponse("", "b")}, "", "b", 1},
-		{"one that does not say", "a", []string{okResponse("", ""), okResponse("", "m1")}, "m1", "", 1},
+		{"one that does not say", "a", []string{okResponse("", ""), okResponse("", "m1")}, "m1", "", 2}, // with a witness
 		{"none is known", "", []string{okResponse("", "a")}, "", "a", 1},
 		{"the handshake's response comes twice", "a", []string{okResponse("", "a") + okResponse("", "a"), okResponse("", "m1")}, "m1", "", 1},
 		{"the connection ends after the handshake", "a", []string{closes, okResponse("", "a"), okResponse("", "m1")}, "m1", "", 2},
@@ -93,3 +101,47 @@
 		}
 	})
 }
+
+// A process that tells no name is known again on a new connection as long as it responds on an earlier one, which has
+// carried nothing before. Otherwise a request that is meant for it is not sent.
+func TestWitness(t *testing.T) {
+	const unnamed = ""
+	last := "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nm1" + cut
+	for _, c := range []struct {
+		name    string
+		witness string // response; the next ones are sent on the new connection
+		wait    time.Duration
+		next    []string
+		err     error
+	}{
+		{"it responds", okResponse("", unnamed), 0, []string{okResponse("", "m2")}, nil},
+		{"its connection ended", cut, 0, []string{okResponse("", unnamed), okResponse("", "m2")}, ErrUnproven},
+		{"it is silent", "", 0, []string{"for the witness, too late", okResponse("", unnamed), okResponse("", "m2")}, ErrUnproven},
+		{"it is too old", okResponse("", unnamed), 2 * witnessAge, []string{okResponse("", "m2")}, ErrUnproven},
+	} {
+		run(t, func(s *script) {
+			s.responses <- okResponse("", unnamed)
+			s.responses <- last
+			name, b, err := s.sendSame("a", "")
+			if b != "m1" || err != nil || name == "" {
+				t.Fatalf("%s: got %q %v by %q", c.name, b, err, name)
+			}
+			time.Sleep(c.wait)
+			s.pool.Sweep()
+			if c.witness != "" {
+				s.responses <- c.witness
+			}
+			go func() {
+				time.Sleep(witnessTimeout + time.Millisecond)
+				for _, r := range c.next {
+					s.responses <- r
+				}
+			}()
+			got, b, err := s.sendSame("a", name)
+			if !errors.Is(err, c.err) || err == nil && (got != name || b != "m2") {
+				t.Errorf("%s: got %q %v by %q, want %v by %q", c.name, b, err, got, c.err, name)
+			}
+			time.Sleep(2 * witnessTimeout) // until all is sent
+		})
+	}
+}
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,6 +56,9 @@
 	open map[string]int
 
 	marks recentMarks
+
+	witnesses map[string]*witness // by address
+	unnamed   atomic.Int64        // processes that the pool has named
 }
 
 // get returns a connection for a request, on which its Echo value was not sent before: a copy of the
@@ -202,6 +206,7 @@
 			delete(p.idle, a)
 		}
 	}
+	old = append(old, p.sweepWitnesses()...)
 	p.mu.Unlock()
 	for _, c := range old {
 		c.close()
