--- a/io/edge/burst_test.go
+++ b/io/edge/burst_test.go
@@ -1,9 +1,11 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,9 +14,9 @@
 	platformstandin "bergamotspring/platform/standin"
 )
 
-// crashOnRequests makes all plain servers crash on requests whose id begins with d; each is back after 2 s. It returns
-// a function that returns the times of the crashes.
-func (w *testFleet) crashOnRequests() func() []time.Time {
+// crashOnRequests makes all plain servers crash on requests whose id begins with d, after the first part of a response, if
+// not empty; each is back after 2 s. It returns a function that returns the times of the crashes.
+func (w *testFleet) crashOnRequests(part string) func() []time.Time {
 	var mu sync.Mutex
 	var l []time.Time
 	for _, s := range w.all("plain") {
@@ -26,9 +28,13 @@
 			l = append(l, time.Now())
 			mu.Unlock()
 			host := hostOf(s.Address)
-			w.net.SetHost(host, standin.HostRefuses)
 			time.AfterFunc(2*time.Second, func() { w.net.SetHost(host, standin.HostUp) })
-			return "\n"
+			if part == "" {
+				w.net.SetHost(host, standin.HostRefuses)
+				return "\n"
+			}
+			time.AfterFunc(1500*time.Microsecond, func() { w.net.SetHost(host, standin.HostRefuses) }) // what was sent arrives
+			return head(x, "200 OK", fmt.Sprint("Content-Length: ", 2*len(part))) + part
 		}
 	}
 	return func() []time.Time {
@@ -42,7 +48,7 @@
 // crash on, at most three of them reach a server, and other requests are served.
 func TestCrashingRequestAtOnce(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
-		crashes := w.crashOnRequests()
+		crashes := w.crashOnRequests("")
 		time.Sleep(time.Second)
 		start := time.Now()
 		for round, at := range []time.Duration{0, 4300 * time.Millisecond, 6800 * time.Millisecond, 9300 * time.Millisecond} {
@@ -68,3 +74,34 @@
 		}
 	})
 }
+
+// A request crashes servers in the middle of long responses: it is refused after the third crash, and the servers get
+// nothing for a time after theirs. A caller that leaves such a response does not count as a crash.
+func TestCrashInLongResponse(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		crashes := w.crashOnRequests(strings.Repeat("x", 3<<20))
+		time.Sleep(time.Second)
+		for i := range 8 {
+			w.request("a1", http.MethodGet, "/read/same", fmt.Sprint("d", i))
+			w.wantOK(w.request("a1", http.MethodGet, "/read/other", fmt.Sprint("s", i)), "another request after %d deadly ones", i+1)
+			time.Sleep(2500 * time.Millisecond)
+		}
+		if n := len(crashes()); n != 3 {
+			t.Errorf("got %d crashes by 8 requests, want 3", n)
+		}
+	})
+	runFleet(t, func(w *testFleet) {
+		for _, s := range w.all("plain") {
+			s.Size = 64 << 20
+		}
+		for i := range 8 {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			w.send(ctx, "a1", http.MethodGet, "/read/same", fmt.Sprint("left", i))
+			cancel()
+			time.Sleep(time.Second)
+		}
+		if l := w.log.matching("server_crashed"); len(l) > 0 {
+			t.Errorf("got %v, want no crash", l)
+		}
+	})
+}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -72,7 +72,7 @@
 			q.mayHaveRun = true
 		}
 		if !q.shouldRetry(a, tried, runs) || !q.takeRetry(a, t) {
-			q.finish(a, t)
+			q.finish(ctx, a, t)
 			return
 		}
 		a.close()
@@ -203,7 +203,7 @@
 }
 
 // finish ends a request with its last attempt.
-func (q *request) finish(a *attempt, t *relay.Server) {
+func (q *request) finish(ctx context.Context, a *attempt, t *relay.Server) {
 	defer a.close()
 	switch {
 	case a.err != nil:
@@ -211,7 +211,7 @@
 	case a.notRun:
 		q.fail("not run by servers", q.retryAfter())
 	default:
-		q.forward(a, t)
+		q.forward(ctx, a, t)
 	}
 }
 
@@ -225,7 +225,7 @@
 }
 
 // forward sends a server's response to the caller unchanged, unless it misleads.
-func (q *request) forward(a *attempt, t *relay.Server) {
+func (q *request) forward(ctx context.Context, a *attempt, t *relay.Server) {
 	if q.misleads(a) {
 		q.mayHaveRun = true
 		q.fail("server did not state that it did not run the request", 0)
@@ -243,7 +243,7 @@
 	q.out.WriteHeader(a.response.Status)
 	_, err := q.out.Write(a.body)
 	if err == nil && a.hasMore {
-		_, err = io.Copy(q.out, a.response.Body)
+		err = q.forwardRest(ctx, a, t)
 	}
 	if err == nil {
 		err = q.ending.complete(q.out)
@@ -258,6 +258,31 @@
 	q.end("answered", good, 0, zap.String("server", t.ID), zap.Int("status", a.response.Status))
 }
 
+// forwardRest sends the rest of a long response to the caller. A server that breaks it off may have crashed.
+func (q *request) forwardRest(ctx context.Context, a *attempt, t *relay.Server) error {
+	r := errorReader{Reader: a.response.Body}
+	_, err := io.Copy(q.out, &r)
+	if r.err != nil && ctx.Err() == nil {
+		q.server.Balancer.Backoff(t.ID, time.Now())
+		q.reportBroken(a, t)
+	}
+	return err
+}
+
+// errorReader keeps the error of a reader.
+type errorReader struct {
+	io.Reader
+	err error // other than io.EOF
+}
+
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 // contextEnded ends a request whose deadline passed or whose caller disconnected, or because the
 // process is about to end.
 func (q *request) contextEnded(ctx context.Context) {
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -229,7 +229,7 @@
 		return runBroken
 	}
 	q.report(g, placement.RunDone)
-	q.forward(a, &g.Server)
+	q.forward(ctx, a, &g.Server)
 	return runDone
 }
 
