core/relay: a statement of leaving holds for the process that nobody has read of yet

Cause: a response does not tell its process. The mark was that of the entry that the node had, and ended with the next one. One that started later gets requests as before. TestLeavingBeforeEntryIsRead and TestMarkOfUnknownProcess failed before.

--- a/core/relay/cache.go
+++ b/core/relay/cache.go
@@ -28,6 +28,7 @@
 	expiring      map[string]time.Time // removed entries and when they expire
 	reconnectedAt time.Time            // when the last outage of the store ended
 	leaving       map[string]leavingMark
+	presumed      map[string]bool      // servers with a mark that holds for a time only
 	gone          map[string]time.Time // when entries were removed, for leavingTTL
 	confirmedAt   time.Time            // when the store last confirmed the entries
 	emptySince    map[string]time.Time // when each service without usable servers was first seen so
@@ -176,8 +177,9 @@
 	s.expiring[id] = until
 }
 
-// expire removes entries whose grace period has ended. The lock is held.
+// expire removes entries whose grace period has ended, and marks whose time has. The lock is held.
 func (s *Cache) expire() {
+	s.expirePresumed()
 	if len(s.expiring) == 0 {
 		return
 	}
--- a/core/relay/leaving.go
+++ b/core/relay/leaving.go
@@ -29,21 +29,38 @@
 // leavingMark marks one process of a server as leaving.
 type leavingMark struct {
 	startedAt int64     // of the process, 0: unknown
+	statedAt  time.Time // when the statement came
 	removedAt time.Time // when its entry was removed, or it was marked without one; zero: the entry is known
+	// presumed says that the statement came while the entry was that of an earlier process. It is from one of the two,
+	// and the mark holds for leavingTTL at most.
+	presumed bool
 }
 
 func (m leavingMark) expired(now time.Time) bool {
+	if m.presumed && now.Sub(m.statedAt) > leavingTTL {
+		return true
+	}
 	return !m.removedAt.IsZero() && now.Sub(m.removedAt) > leavingTTL
 }
 
+// mayBe returns the mark for the next process of a server, and whether it may have made the statement: it had started by
+// then, by the clocks of the two machines.
+func (m leavingMark) mayBe(x *Server) (leavingMark, bool) {
+	if m.startedAt == 0 || x.StartedAt == 0 || x.StartedAt > m.statedAt.UnixMilli() {
+		return leavingMark{}, false
+	}
+	return leavingMark{startedAt: x.StartedAt, statedAt: m.statedAt, presumed: true}, true
+}
+
 // MarkLeaving records that a process is leaving, and reports whether this is new. From then
 // on, the views do not contain its server, whatever the entry says, until another process has
-// the ID. If no start is known, that is when the entry is removed, gets another address, or is
+// the ID that started later. A response does not tell which process of its server sent it: one that had started by then
+// stays out of the views for leavingTTL. If no start is known, that is when the entry is removed, gets another address, or is
 // no longer that of a leaving server.
 func (s *Cache) MarkLeaving(p Process) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := leavingMark{startedAt: p.StartedAt}
+	m := leavingMark{startedAt: p.StartedAt, statedAt: s.now()}
 	switch x := s.servers[p.ID]; {
 	case x == nil:
 		m.removedAt = s.now()
@@ -52,7 +69,7 @@
 	case x.StartedAt != p.StartedAt:
 		return false // the entry is that of its successor
 	}
-	if old, ok := s.leaving[p.ID]; ok && old.startedAt == m.startedAt && !old.expired(s.now()) {
+	if old, ok := s.leaving[p.ID]; ok && old.startedAt == m.startedAt && !old.presumed && !old.expired(s.now()) {
 		return false
 	}
 	if s.leaving == nil {
@@ -127,11 +144,20 @@
 	case m.startedAt == 0 && old == nil: // the first entry that this node reads of it
 		same = x.StartedAt <= m.removedAt.UnixMilli()
 	}
+	if next, ok := m.mayBe(x); ok && !same && !m.expired(s.now()) {
+		s.leaving[x.ID] = next
+		if s.presumed == nil {
+			s.presumed = map[string]bool{}
+		}
+		s.presumed[x.ID] = true
+		return
+	}
 	if !same {
 		delete(s.leaving, x.ID)
 		return
 	}
-	s.leaving[x.ID] = leavingMark{startedAt: x.StartedAt}
+	m.startedAt, m.removedAt = x.StartedAt, time.Time{}
+	s.leaving[x.ID] = m
 }
 
 // markRemoved updates the mark of a server whose entry was removed. Without a known start,
@@ -149,6 +175,25 @@
 	s.leaving[id] = m
 }
 
+// expirePresumed removes the marks that hold for a time only and have expired. The lock is held.
+func (s *Cache) expirePresumed() {
+	if len(s.presumed) == 0 {
+		return
+	}
+	now := s.now()
+	for id := range s.presumed {
+		m, ok := s.leaving[id]
+		if ok && m.presumed && !m.expired(now) {
+			continue
+		}
+		delete(s.presumed, id)
+		if ok && m.presumed {
+			delete(s.leaving, id)
+			s.view = nil
+		}
+	}
+}
+
 // expireMarks removes the marks of processes whose entries have been unknown for leavingTTL, and
 // forgets entries that have been gone for as long. Views are asked for far more often than these change, so
 // it is called with each change. The lock is held.
