--- a/io/exchange/handshake_test.go
+++ b/io/exchange/handshake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -131,17 +132,18 @@
 			if c.witness != "" {
 				s.responses <- c.witness
 			}
-			go func() {
+			var g sync.WaitGroup
+			g.Go(func() {
 				time.Sleep(witnessTimeout + time.Millisecond)
 				for _, r := range c.next {
 					s.responses <- r
 				}
-			}()
+			})
 			got, b, err := s.sendSame("a", name)
 			if !errors.Is(err, c.err) || err == nil && (got != name || b != "m2") {
 				t.Errorf("%s: got %q %v by %q, want %v by %q", c.name, b, err, got, c.err, name)
 			}
-			time.Sleep(2 * witnessTimeout) // until all is sent
+			g.Wait()
 		})
 	}
 }
