core/relay: all nodes together send a cold plain server what it states to bear

Cause: coordinators bound cold model servers; the balancer of plain ones did not know the rate. Fix: each node has a whole part of the rate, or, if there are more nodes than requests, those that a hash puts first send one a second. Others serve the rest; if all are cold, it is refused at once. Nothing changes for services that state no rate, as all plain ones in force. Seen to fail before: TestColdPlainServer.

--- a/core/relay/balancer.go
+++ b/core/relay/balancer.go
@@ -37,6 +37,10 @@
 // Balancer holds the statistics of servers that a node has used. The zero value is ready
 // to use. It is safe for concurrent use.
 type Balancer struct {
+	// ColdShare, if set, returns how many requests a second this node may send to a cold server that can take rate from
+	// all nodes together.
+	ColdShare func(server string, rate float64) int
+
 	mu    sync.Mutex
 	stats map[string]*serverStats
 }
@@ -50,10 +54,13 @@
 	backoffUntil time.Time
 	limit        float64 // of inFlight at the end of the last pause; 0: there was none
 	pausedUntil  time.Time
+	coldSends    []time.Time // to the server while it is cold, those of the last coldWindow
+	coldShare    int         // see Balancer.ColdShare
+	coldShareAt  time.Time   // when it was computed
 }
 
 // Pick returns the server of a service with the lowest cost among those that are allowed,
-// not tried yet and below their limit, or nil. Servers in backoff are used only if there is no other.
+// not tried yet, below their limit and not too cold, or nil. Servers in backoff are used only if there is no other.
 func (b *Balancer) Pick(v *View, service, domain, region string, now time.Time, allowed func(*Server) bool, tried []string) *Server {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -61,7 +68,7 @@
 	var cost time.Duration
 	bestInBackoff := false
 	for _, s := range v.Servers[service] {
-		if !allowed(s) || slices.Contains(tried, s.ID) || b.full(s.ID, now) {
+		if !allowed(s) || slices.Contains(tried, s.ID) || b.full(s.ID, now) || !b.mayTakeCold(v, s, now) {
 			continue
 		}
 		p := b.inBackoff(s.ID, now)
@@ -130,14 +137,7 @@
 func (b *Balancer) Begin(id string, start time.Time) func(now time.Time, failed, ignored bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stats == nil {
-		b.stats = map[string]*serverStats{}
-	}
-	x := b.stats[id]
-	if x == nil {
-		x = &serverStats{}
-		b.stats[id] = x
-	}
+	x := b.of(id)
 	x.inFlight++
 	return func(now time.Time, failed, ignored bool) {
 		b.mu.Lock()
@@ -150,6 +150,19 @@
 	}
 }
 
+// of returns the statistics of a server. The lock is held.
+func (b *Balancer) of(id string) *serverStats {
+	if b.stats == nil {
+		b.stats = map[string]*serverStats{}
+	}
+	x := b.stats[id]
+	if x == nil {
+		x = &serverStats{}
+		b.stats[id] = x
+	}
+	return x
+}
+
 // Backoff starts or doubles the backoff of a server that broke off a request or could not
 // be reached.
 func (b *Balancer) Backoff(id string, now time.Time) {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -239,6 +239,7 @@
 		Suspects: &n.crashes, OnBroken: n.onBroken, OnResponse: n.onResponse, OnSuccess: n.onSuccess, TakeTrial: n.takeTrial, OnEnd: n.meter.countRequest, Sample: n.sampler.sample, Stopping: n.stopping.Load, Log: n.Log,
 		EndArrivals: n.drain.arrivals, EndPlacements: n.drain.placements, EndRequests: n.drain.requests,
 	}
+	s.Balancer.ColdShare = n.coldShare
 	return &http.Server{
 		Addr: n.Settings.Callers, Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(n.Log), ConnContext: proxy.ConnContext,
--- a/io/edge/shares.go
+++ b/io/edge/shares.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"bergamotspring/core/budget"
+	"bergamotspring/core/relay"
 	"bergamotspring/platform"
 )
 
@@ -79,6 +80,15 @@
 	return max(minConnections, int(float64(limit)*n.nodeShare()))
 }
 
+// coldShare returns how many requests a second this node may send to a cold plain server.
+func (n *Node) coldShare(server string, rate float64) int {
+	var l []string
+	for _, x := range n.roster.All() {
+		l = append(l, x.Peer)
+	}
+	return relay.ColdShare(server, rate, n.self.Peer, l)
+}
+
 // takeTaskRetry takes a retry of a task from this coordinator's budget.
 func (n *Node) takeTaskRetry(service string) bool {
 	_, ok := n.taskRetries.takeRetry(service)
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -62,6 +62,9 @@
 			return
 		}
 		tried = append(tried, t.ID)
+		if !q.server.Balancer.TakeCold(q.server.View(), t, time.Now()) {
+			continue // another request got there first
+		}
 		a := q.try(ctx, t, runs)
 		if ctx.Err() != nil && a.err != nil {
 			q.contextEnded(ctx)
