--- a/core/placement/occupants.go
+++ b/core/placement/occupants.go
@@ -146,6 +146,9 @@
 // endDisplaced takes servers for ended that have no entry any more while another server has one with their address.
 func (h *Scheduler) endDisplaced(address string) {
 	l := h.occupants[address]
+	if len(l) < 2 {
+		return
+	}
 	for _, m := range slices.Clone(l) {
 		displaced := slices.ContainsFunc(l, func(o *stageServer) bool {
 			return o.server.ID != m.server.ID && h.isCurrent(o) && !o.unregistered
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -58,13 +58,13 @@
 	queried        bool      // a response to a CapacityQuery has arrived
 	backoffUntil   time.Time
 	backoff        time.Duration
-	heldUntil      time.Time // end of the hold-off that the server asked for
-	timeRatio      float64   // measured over expected batch time, smoothed; 0: not measured yet
-	lost           bool      // its process ended and its results with it
-	unregistered   bool      // its entry is gone; kept to tell whether the same process returns
-	outdated       *int64    // start in an entry that is older than what the process itself told; nil: none
-	readers        map[reader]time.Time
-	process        string // that got its batches, see OnProcess; empty: none did yet
+	heldUntil      time.Time            // end of the hold-off that the server asked for
+	timeRatio      float64              // measured over expected batch time, smoothed; 0: not measured yet
+	lost           bool                 // its process ended and its results with it
+	unregistered   bool                 // its entry is gone; kept to tell whether the same process returns
+	outdated       *int64               // start in an entry that is older than what the process itself told; nil: none
+	readers        map[reader]time.Time // of its results, and until when they may read
+	process        string               // that got its batches, see OnProcess; empty: none did yet
 }
 
 // unusedResult is a stored result that is no longer needed.
--- a/io/exchange/handshake_test.go
+++ b/io/exchange/handshake_test.go
@@ -147,3 +147,26 @@
 		})
 	}
 }
+
+// A witness gives way to a request for which no other connection may be opened, and takes no connection from one.
+func TestWitnessGivesWay(t *testing.T) {
+	run(t, func(s *script) {
+		s.pool.MaxConnections = func(string) int { return 2 }
+		s.responses <- okResponse("", "")
+		s.responses <- okResponse("", "m1")
+		if _, b, err := s.sendSame("a", ""); b != "m1" || err != nil || len(s.pool.witnesses) != 1 {
+			t.Fatalf("got %q %v with %d witnesses, want m1 with one", b, err, len(s.pool.witnesses))
+		}
+		for i, want := range []int{1, 0} { // witnesses that are left; the first request takes the place of an idle connection
+			s.responses <- "HTTP/1.1 200 OK\r\nId: x\r\nContent-Length: 9\r\n\r\n"
+			r, err := s.open(http.MethodGet, "x")
+			if err != nil {
+				t.Fatalf("request %d: %v", i, err)
+			}
+			defer func() { _ = r.Body.Close() }()
+			if n := len(s.pool.witnesses); n != want || s.pool.open[address] != 2 {
+				t.Errorf("request %d: %d witnesses are left and %d connections open, want %d and 2", i, n, s.pool.open[address], want)
+			}
+		}
+	})
+}
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -110,12 +110,17 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	err := p.reserve(address)
-	for err != nil && p.closeIdle(address) {
+	for err != nil && (p.closeIdle(address) || p.closeWitness(address)) {
 		err = p.reserve(address)
 	}
 	if err != nil {
 		return nil, err
 	}
+	return p.openReserved(ctx, address)
+}
+
+// openReserved opens a connection that is reserved.
+func (p *Pool) openReserved(ctx context.Context, address string) (*conn, error) {
 	n, err := p.connect(ctx, address)
 	if err != nil {
 		p.release(address)
--- a/io/exchange/witness.go
+++ b/io/exchange/witness.go
@@ -34,15 +34,21 @@
 	if w != nil && time.Since(w.openedAt) < witnessAge && (w.identity == c.identity || w.openedFor == c) {
 		return
 	}
-	n, err := p.dial(ctx, c.address)
-	if err != nil {
+	if w != nil {
+		p.closeWitness(c.address)
+	}
+	if p.reserve(c.address) != nil {
 		return // the next connection is unproven
 	}
+	n, err := p.openReserved(ctx, c.address)
+	if err != nil {
+		return
+	}
 	p.mu.Lock()
 	if p.witnesses == nil {
 		p.witnesses = map[string]*witness{}
 	}
-	old := p.witnesses[c.address]
+	old := p.witnesses[c.address] // of a request at the same time
 	p.witnesses[c.address] = &witness{conn: n, openedAt: time.Now(), openedFor: c}
 	p.mu.Unlock()
 	if old != nil {
@@ -50,6 +56,19 @@
 	}
 }
 
+// closeWitness closes the witness of an address, and reports whether there was one.
+func (p *Pool) closeWitness(address string) bool {
+	p.mu.Lock()
+	w := p.witnesses[address]
+	delete(p.witnesses, address)
+	p.mu.Unlock()
+	if w == nil {
+		return false
+	}
+	w.close()
+	return true
+}
+
 // confirmWitness records that a request on c was answered, which was sent after its witness had been opened.
 func (p *Pool) confirmWitness(c *conn) {
 	p.mu.Lock()
