--- a/io/exchange/witness.go
+++ b/io/exchange/witness.go
@@ -3,7 +3,8 @@
 // This file defines witnesses, by which a new connection is known to lead to the same process as earlier ones although
 // the process does not tell its name. A witness is a connection to it that was opened before a request to it whose
 // response has come, and that has carried nothing. If it responds after the new connection was opened, its process has
-// listened at the address all the while.
+// run all the while, and no other one can have listened at its address. That does not hold for a process that has closed
+// its listener and goes on with open connections: it is leaving, and callers send it nothing new.
 
 import (
 	"context"
