Add review case 6: inputs of other requests after the loss of a zone

Tried: a zone loses power that has the coordinator and a stage worker, while granted requests wait at a model worker of another zone (review/6/run.sh).

--- /dev/null
+++ b/review/rig-2/model.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// modelWorker is a model worker. It runs slots requests at once; others wait for their turn, at which it fetches
+// their inputs.
+type modelWorker struct {
+	id, address, zone string
+	events            int
+	gap               time.Duration
+	slots             chan struct{}
+	record            *record
+	client            http.Client
+
+	mu      sync.Mutex
+	arrived int
+	foreign []string
+}
+
+// register writes the worker's entry until the store is closed.
+func (m *modelWorker) register(f *fleet) {
+	e := entry{Service: "bergamot-llm", Address: m.address, Zone: m.zone, Version: "1", Slots: cap(m.slots), State: "ready", Born: time.Now().UnixMilli()}
+	go func() {
+		for ; ; time.Sleep(heartbeat) {
+			e.Sequence++
+			f.store.Put(standinServers, m.id, e)
+		}
+	}()
+}
+
+// counts returns how many requests have arrived, and the inputs that belonged to other requests.
+func (m *modelWorker) counts() (arrived int, foreign []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.arrived, append([]string(nil), m.foreign...)
+}
+
+// ServeHTTP serves a request.
+func (m *modelWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // a disconnect shows once it was read
+	id := r.Header.Get("X-Bergamotspring-Request-Id")
+	w.Header().Set("X-Bergamotspring-Request-Id", id)
+	if e := r.Header.Get("X-Bergamotspring-Expect-Instance"); e != "" && e != m.id {
+		notRun(w, http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/report" {
+		reply(w, map[string]any{"stage": "both", "queued": 0, "running": 0, "kv-used": 0, "kv-total": 235284})
+		return
+	}
+	inputs := strings.Split(r.Header.Get("X-Bergamotspring-Inputs"), ",")
+	m.mu.Lock()
+	m.arrived++
+	m.mu.Unlock()
+	m.record.add("%s: request %s arrives, inputs %v", m.id, id, inputs)
+	select {
+	case m.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-m.slots }()
+	if !m.fetch(id, inputs) {
+		notRun(w, http.StatusConflict)
+		return
+	}
+	m.stream(w, r, id)
+}
+
+func notRun(w http.ResponseWriter, status int) {
+	w.Header().Set("X-Bergamotspring-Not-Executed", "1")
+	w.WriteHeader(status)
+}
+
+// fetch fetches the inputs of a request, and reports whether all exist.
+func (m *modelWorker) fetch(id string, inputs []string) bool {
+	for _, h := range inputs {
+		address, number, _ := strings.Cut(h, "/")
+		r, err := m.client.Get("http://" + address + "/result/" + number)
+		if err != nil {
+			m.record.add("%s: request %s: input %s: %v", m.id, id, h, err)
+			return false
+		}
+		var i item
+		err = json.NewDecoder(r.Body).Decode(&i)
+		_ = r.Body.Close() // it was read
+		if r.StatusCode != http.StatusOK || err != nil {
+			m.record.add("%s: request %s: input %s is gone", m.id, id, h)
+			return false
+		}
+		if i.ID != id {
+			s := fmt.Sprintf("request %s is given input %s, which is piece %d/%d of request %s", id, h, i.Stage, i.Segment, i.ID)
+			m.record.add("%s: FOREIGN INPUT: %s", m.id, s)
+			m.mu.Lock()
+			m.foreign = append(m.foreign, s)
+			m.mu.Unlock()
+		}
+	}
+	return true
+}
+
+// stream sends the events after the last one that the caller has.
+func (m *modelWorker) stream(w http.ResponseWriter, r *http.Request, id string) {
+	m.record.add("%s: request %s runs", m.id, id)
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
+	w.Header().Set("X-Bergamotspring-Server-Stamp", "stamp."+m.id+"."+id)
+	w.Header().Set("X-Bergamotspring-Weight-Versions", "1")
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := from + 1; n <= m.events; n++ {
+		select {
+		case <-time.After(m.gap):
+		case <-r.Context().Done():
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n)
+		_ = http.NewResponseController(w).Flush() // the caller may have left
+	}
+	m.record.add("%s: request %s has run", m.id, id)
+}
