--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -18,6 +18,7 @@
 	path   string
 	header map[string]string
 	limit  time.Duration
+	body   func(id string) string
 	client http.Client
 	wait   sync.WaitGroup
 }
@@ -25,6 +26,7 @@
 func newConsumers(f *fleet, host, path string, limit time.Duration, header map[string]string) *consumers {
 	return &consumers{
 		fleet: f, host: host, path: path, limit: limit, header: header,
+		body:   func(id string) string { return "prompt of " + id },
 		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
 	}
 }
@@ -35,10 +37,22 @@
 	c.wait.Go(func() { c.exchange(n, id) })
 }
 
+// sendAll sends requests to nodes in turn, with a pause before each, until stop is closed.
+func (c *consumers) sendAll(l []node, pause time.Duration, stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+			c.send(l[n%len(l)])
+		}
+	}
+}
+
 func (c *consumers) exchange(n node, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.limit)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fleet.address(n.number, portFront)+c.path, strings.NewReader("prompt of "+id))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fleet.address(n.number, portFront)+c.path, strings.NewReader(c.body(id)))
 	if err != nil {
 		c.fleet.record.add("consumer: %v", err)
 		return
--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -38,6 +38,9 @@
 // readyTimeout bounds the start of the nodes.
 const readyTimeout = 20 * time.Second
 
+// settle is the time in which nodes that are ready get to know each other.
+const settle = 2 * time.Second
+
 // fleet is a small deployment: a store, workers, and nodes in processes of their own.
 type fleet struct {
 	program string
@@ -48,6 +51,7 @@
 	zones   map[string]string // the region of each zone
 
 	mu      sync.Mutex
+	closed  bool
 	servers []*http.Server
 	running []*process
 }
@@ -101,14 +105,18 @@
 func (f *fleet) serveAdmin() (address string, err error) {
 	address = f.address(1, portStore+1)
 	return address, f.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		b, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		f.store.PutBytes(standinServers, r.URL.Query().Get("id"), b)
+		f.putEntry(r, r.URL.Query().Get("id"))
 	}))
 }
 
+// putEntry writes an entry that a worker sent.
+func (f *fleet) putEntry(r *http.Request, id string) {
+	b, err := io.ReadAll(r.Body)
+	if err == nil {
+		f.store.PutBytes(standinServers, id, b)
+	}
+}
+
 const standinServers = "servers"
 
 // start starts a program.
@@ -120,6 +128,11 @@
 	defer func() { _ = log.Close() }() // the process has its own descriptor
 	c := exec.Command(args[0], args[1:]...)
 	c.Env, c.Stdout, c.Stderr = append(os.Environ(), env...), log, log
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return nil, errors.New("the case has ended")
+	}
 	if err := c.Start(); err != nil {
 		return nil, err
 	}
@@ -128,9 +141,7 @@
 		_ = c.Wait() // how it ended does not matter
 		close(p.done)
 	}()
-	f.mu.Lock()
 	f.running = append(f.running, p)
-	f.mu.Unlock()
 	f.record.add("start %s, process %d", name, c.Process.Pid)
 	return p, nil
 }
@@ -183,6 +194,25 @@
 	return f.start(n.name, []string{"BERGAMOTSPRING_BOOT=" + path}, f.program, "edge", "--metrics-port", fmt.Sprint(portMetrics))
 }
 
+// startAll starts nodes, and returns when they are ready and know each other.
+func (f *fleet) startAll(l []node) ([]*process, error) {
+	var running []*process
+	for _, n := range l {
+		p, err := f.startNode(n)
+		if err != nil {
+			return nil, err
+		}
+		running = append(running, p)
+	}
+	for _, n := range l {
+		if err := f.awaitReady(n); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(settle)
+	return running, nil
+}
+
 // awaitReady waits until a node says that it is ready.
 func (f *fleet) awaitReady(n node) error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
@@ -218,6 +248,7 @@
 // close ends all processes that the case has started.
 func (f *fleet) close() {
 	f.mu.Lock()
+	f.closed = true
 	running, servers := slices.Clone(f.running), slices.Clone(f.servers)
 	f.mu.Unlock()
 	for _, p := range running {
--- a/review/rig-2/handles.go
+++ b/review/rig-2/handles.go
@@ -55,7 +55,7 @@
 	if err := errors.Join(f.awaitReady(kept), f.awaitLog(kept.name, `"registered"`, readyTimeout)); err != nil {
 		return err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(settle)
 	c := newConsumers(f, "pule25.example", "/puxa400/2f", requestLimit, map[string]string{
 		"X-Bergamotspring-Model": "m", "X-Bergamotspring-Token-Usage": "1925,120", "X-Bergamotspring-Prefix-Hash": "5c1e07a2:568,91bd3f06:1232",
 		"X-Bergamotspring-Chunks": "1", "Api-Key": "9dnn2ctnfzs989anu6ws",
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -1,7 +1,7 @@
 // Command rig-2 runs the cases of the second review: nodes of the project as processes of their own, with
 // stand-ins of the platform's store, of workers and of consumers on loopback addresses.
 //
-// Usage: rig-2 CASE PROGRAM RECORD, or rig-2 stage ... for a stage worker in a process of its own.
+// Usage: rig-2 CASE PROGRAM RECORD, or rig-2 stage|model ... for a worker in a process of its own.
 package main
 
 import (
@@ -22,11 +22,18 @@
 // cases are the cases by name.
 var cases = map[string]func(*fleet, bool) error{
 	"handles": runHandles,
+	"poison":  runPoison,
+}
+
+// workers are the workers that run in processes of their own.
+var workers = map[string]func(args []string){
+	"stage": serveStage,
+	"model": serveModel,
 }
 
 func main() {
-	if len(os.Args) > 1 && os.Args[1] == "stage" {
-		serveStage(os.Args[2:])
+	if len(os.Args) > 1 && workers[os.Args[1]] != nil {
+		workers[os.Args[1]](os.Args[2:])
 		return
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
