Add review case 8: routes are matched by the decoded path

Tried: a change of the configuration splits a public route off; requests with an unknown key whose path has %2F where the new prefix has a slash (review/8/run.sh).

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*fleet, bool) error{
 	"handles": runHandles,
 	"poison":  runPoison,
+	"paths":   runPaths,
 }
 
 // workers are the workers that run in processes of their own.
