--- a/review/rig-2/handles.go
+++ b/review/rig-2/handles.go
@@ -14,7 +14,8 @@
 	secondPause  = 60 * time.Millisecond
 	backAfter    = 1200 * time.Millisecond // a zone without power comes back within 1.5 s
 	modelSlots   = 8
-	modelEvents  = 34
+	modelEvents  = 40
+	laterEvents  = 5
 	modelGap     = 100 * time.Millisecond
 	requestLimit = 6 * time.Second
 	arriveLimit  = 4 * time.Second
@@ -28,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	m := &modelWorker{id: "i-model", address: f.address(20, portWorker), zone: "muc-b", events: modelEvents, gap: modelGap, slots: make(chan struct{}, modelSlots), record: f.record}
+	m := &modelWorker{id: "i-model", address: f.address(20, portWorker), zone: "muc-b", events: modelEvents, laterEvents: laterEvents, gap: modelGap, slots: make(chan struct{}, modelSlots), record: f.record}
 	if err := f.serve(m.address, m); err != nil {
 		return err
 	}
--- a/review/rig-2/model.go
+++ b/review/rig-2/model.go
@@ -15,7 +15,8 @@
 // their inputs.
 type modelWorker struct {
 	id, address, zone string
-	events            int
+	events            int // of the streams that run first, one for each slot
+	laterEvents       int // of the others
 	gap               time.Duration
 	slots             chan struct{}
 	record            *record
@@ -23,6 +24,7 @@
 
 	mu      sync.Mutex
 	arrived int
+	runs    int
 	foreign []string
 }
 
@@ -72,7 +74,18 @@
 		notRun(w, http.StatusConflict)
 		return
 	}
-	m.stream(w, r, id)
+	m.stream(w, r, id, m.begin())
+}
+
+// begin counts a run, and returns how many events its stream has.
+func (m *modelWorker) begin() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.runs++
+	if m.runs <= cap(m.slots) {
+		return m.events
+	}
+	return m.laterEvents
 }
 
 func notRun(w http.ResponseWriter, status int) {
@@ -108,13 +121,13 @@
 }
 
 // stream sends the events after the last one that the caller has.
-func (m *modelWorker) stream(w http.ResponseWriter, r *http.Request, id string) {
+func (m *modelWorker) stream(w http.ResponseWriter, r *http.Request, id string, events int) {
 	m.record.add("%s: request %s runs", m.id, id)
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
 	w.Header().Set("X-Bergamotspring-Server-Stamp", "stamp."+m.id+"."+id)
 	w.Header().Set("X-Bergamotspring-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := from + 1; n <= m.events; n++ {
+	for n := from + 1; n <= events; n++ {
 		select {
 		case <-time.After(m.gap):
 		case <-r.Context().Done():
