Add review case 7: inputs of other requests between coordinators of two regions

Tried: one of four stage workers, which the coordinators of two regions use, crashes and starts again while granted requests wait at a model worker (review/7/run.sh). What was case 7 and 8 is 8 and 9 now.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout -k 5 110 target/rig-2 paths target/bergamotspring review/8/record.txt
+exec timeout -k 5 110 target/rig-2 poison target/bergamotspring review/8/record.txt
--- a/review/rig-2/handles.go
+++ b/review/rig-2/handles.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"errors"
 	"fmt"
-	"syscall"
 	"time"
 )
 
@@ -29,14 +27,11 @@
 	if err != nil {
 		return err
 	}
-	m := &modelWorker{id: "i-model", address: f.address(20, portWorker), zone: "muc-b", events: modelEvents, laterEvents: laterEvents, gap: modelGap, slots: make(chan struct{}, modelSlots), record: f.record}
-	if err := f.serve(m.address, m); err != nil {
+	m, err := f.startModel("muc-b")
+	if err != nil {
 		return err
 	}
-	m.register(f)
-	stage := func() (*process, error) {
-		return f.start("stage", nil, selfPath(), "stage", "-id", "i-stage", "-service", "trackable-ledger", "-zone", "muc-a", "-address", f.address(30, portWorker), "-admin", admin)
-	}
+	stage := func() (*process, error) { return f.startStage(30, "muc-a", admin) }
 	s, err := stage()
 	if err != nil {
 		return err
@@ -46,21 +41,14 @@
 	if err != nil {
 		return err
 	}
-	// The node that registers first is the coordinator.
-	if err := errors.Join(f.awaitReady(lost), f.awaitLog(lost.name, `"registered"`, readyTimeout)); err != nil {
-		return err
-	}
-	if _, err := f.startNode(kept); err != nil {
+	if err := f.awaitReady(lost); err != nil {
 		return err
 	}
-	if err := errors.Join(f.awaitReady(kept), f.awaitLog(kept.name, `"registered"`, readyTimeout)); err != nil {
+	time.Sleep(settle) // the node that registers first is the coordinator
+	if _, err := f.startAll([]node{kept}); err != nil {
 		return err
 	}
-	time.Sleep(settle)
-	c := newConsumers(f, "pule25.example", "/puxa400/2f", requestLimit, map[string]string{
-		"X-Bergamotspring-Model": "m", "X-Bergamotspring-Token-Usage": "1925,120", "X-Bergamotspring-Prefix-Hash": "5c1e07a2:568,91bd3f06:1232",
-		"X-Bergamotspring-Chunks": "1", "Api-Key": "9dnn2ctnfzs989anu6ws",
-	})
+	c := newDrafts(f)
 	for range firstWave {
 		c.send(kept)
 	}
@@ -69,8 +57,8 @@
 	}
 	if trouble {
 		f.record.add("zone muc-a loses power")
-		f.signal(first, syscall.SIGKILL)
-		f.signal(s, syscall.SIGKILL)
+		f.kill(first)
+		f.kill(s)
 		time.Sleep(backAfter)
 		f.record.add("zone muc-a is back")
 		if _, err := stage(); err != nil {
@@ -85,6 +73,38 @@
 		time.Sleep(secondPause)
 	}
 	c.wait.Wait()
+	return m.verdict()
+}
+
+// startModel starts a model worker.
+func (f *fleet) startModel(zone string) (*modelWorker, error) {
+	m := &modelWorker{
+		id: "i-model", address: f.address(20, portWorker), zone: zone, events: modelEvents, laterEvents: laterEvents, gap: modelGap,
+		slots: make(chan struct{}, modelSlots), record: f.record,
+	}
+	if err := f.serve(m.address, m); err != nil {
+		return nil, err
+	}
+	m.register(f)
+	return m, nil
+}
+
+// startStage starts a stage worker on a machine, under the same id each time.
+func (f *fleet) startStage(number int, zone, admin string) (*process, error) {
+	id := fmt.Sprintf("i-stage-%d", number)
+	return f.start(id, nil, selfPath(), "stage", "-id", id, "-service", "trackable-ledger", "-zone", zone, "-address", f.address(number, portWorker), "-admin", admin)
+}
+
+// newDrafts returns consumers of streams with one stage of one piece.
+func newDrafts(f *fleet) *consumers {
+	return newConsumers(f, "pule25.example", "/puxa400/2f", requestLimit, map[string]string{
+		"X-Bergamotspring-Model": "m", "X-Bergamotspring-Token-Usage": "1925,120", "X-Bergamotspring-Prefix-Hash": "5c1e07a2:568,91bd3f06:1232",
+		"X-Bergamotspring-Chunks": "1", "Api-Key": "9dnn2ctnfzs989anu6ws",
+	})
+}
+
+// verdict returns an error if a request was given inputs of another one.
+func (m *modelWorker) verdict() error {
 	if _, l := m.counts(); len(l) > 0 {
 		return fmt.Errorf("%w: MIXED: %d inputs of other requests", errBroken, len(l))
 	}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -24,6 +24,7 @@
 	"handles": runHandles,
 	"poison":  runPoison,
 	"paths":   runPaths,
+	"regions": runRegions,
 }
 
 // workers are the workers that run in processes of their own.
--- a/review/rig-2/model.go
+++ b/review/rig-2/model.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,6 +27,7 @@
 	arrived int
 	runs    int
 	foreign []string
+	waiting map[string]int // inputs of requests that wait, by address
 }
 
 // register writes the worker's entry until the store is closed.
@@ -46,6 +48,26 @@
 	return m.arrived, append([]string(nil), m.foreign...)
 }
 
+// makers returns how many inputs of waiting requests are at each address.
+func (m *modelWorker) makers() map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.waiting)
+}
+
+// await counts the inputs of a request that waits, or that waits no more.
+func (m *modelWorker) await(inputs []string, n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.waiting == nil {
+		m.waiting = map[string]int{}
+	}
+	for _, h := range inputs {
+		address, _, _ := strings.Cut(h, "/")
+		m.waiting[address] += n
+	}
+}
+
 // ServeHTTP serves a request.
 func (m *modelWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // a disconnect shows once it was read
@@ -64,9 +86,12 @@
 	m.arrived++
 	m.mu.Unlock()
 	m.record.add("%s: request %s arrives, inputs %v", m.id, id, inputs)
+	m.await(inputs, 1)
 	select {
 	case m.slots <- struct{}{}:
+		m.await(inputs, -1)
 	case <-r.Context().Done():
+		m.await(inputs, -1)
 		return
 	}
 	defer func() { <-m.slots }()
--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -119,7 +118,7 @@
 	if trouble {
 		f.record.add("all nodes are killed")
 		for _, p := range running {
-			f.signal(p, syscall.SIGKILL)
+			f.kill(p)
 		}
 		time.Sleep(nodesBack)
 		if _, err := f.startAll(poisonNodes); err != nil {
