--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"bergamotspring/platform/standin"
@@ -227,6 +229,16 @@
 	return errors.New(n.name + " is not ready")
 }
 
+// closeOnSignal ends all processes that the case has started, and this one, when it is told to end.
+func (f *fleet) closeOnSignal() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, os.Interrupt, syscall.SIGTERM)
+	<-c
+	f.record.add("RESULT cannot run: told to end")
+	f.close()
+	os.Exit(exitCannotRun)
+}
+
 // close ends all processes that the case has started.
 func (f *fleet) close() {
 	f.mu.Lock()
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -59,6 +59,7 @@
 		return exitCannotRun
 	}
 	defer x.close()
+	go x.closeOnSignal()
 	err = f(x, os.Getenv("TROUBLE") != "0")
 	switch {
 	case errors.Is(err, errBroken):
