--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -33,10 +34,12 @@
 
 // send sends a request to a node, and does not wait for its end.
 func (c *consumers) send(n node) {
-	id := fmt.Sprintf("%016x", rand.Uint64())
+	id := newID()
 	c.wait.Go(func() { c.exchange(n, id) })
 }
 
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
 // sendAll sends requests to nodes in turn, with a pause before each, until stop is closed.
 func (c *consumers) sendAll(l []node, pause time.Duration, stop <-chan struct{}) {
 	for n := 0; ; n++ {
@@ -49,13 +52,14 @@
 	}
 }
 
-func (c *consumers) exchange(n node, id string) {
+// exchange sends a request, waits for its answer and returns the Retry-After in it, 0 if there is none.
+func (c *consumers) exchange(n node, id string) time.Duration {
 	ctx, cancel := context.WithTimeout(context.Background(), c.limit)
 	defer cancel()
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.fleet.address(n.number, portFront)+c.path, strings.NewReader(c.body(id)))
 	if err != nil {
 		c.fleet.record.add("consumer: %v", err)
-		return
+		return 0
 	}
 	q.Host = c.host
 	for k, v := range c.header {
@@ -68,9 +72,11 @@
 	r, err := c.client.Do(q)
 	if err != nil {
 		c.fleet.record.add("consumer: %s: %v", id, err)
-		return
+		return 0
 	}
 	b, err := io.ReadAll(r.Body)
 	_ = r.Body.Close() // it was read
 	c.fleet.record.add("consumer: %s answered %d, stamp %q, %d bytes, error %v", id, r.StatusCode, r.Header.Get("X-Bergamotspring-Server-Stamp"), len(b), err)
+	after, _ := strconv.ParseFloat(r.Header.Get("Retry-After"), 64) // 0 if there is none
+	return time.Duration(after * float64(time.Second))
 }
--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -35,6 +35,12 @@
 // heartbeat is the interval at which workers write their entries.
 const heartbeat = 1200 * time.Millisecond
 
+// silentAfter is the silence after which the platform removes an entry.
+const silentAfter = 3 * heartbeat
+
+// tableServers is the table of the workers' entries.
+const tableServers = "servers"
+
 // readyTimeout bounds the start of the nodes.
 const readyTimeout = 20 * time.Second
 
@@ -52,6 +58,7 @@
 
 	mu      sync.Mutex
 	closed  bool
+	beats   map[string]time.Time // last status report of each worker
 	servers []*http.Server
 	running []*process
 }
@@ -76,6 +83,7 @@
 	for range 20 {
 		f.block = fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250))
 		if err = f.serve(f.address(1, portStore), f.store); err == nil {
+			go f.expireEntries()
 			return f, nil
 		}
 	}
@@ -101,23 +109,62 @@
 	return nil
 }
 
-// serveAdmin serves the way by which workers in processes of their own write their entries.
-func (f *fleet) serveAdmin() (address string, err error) {
+// serveAdmin serves the way by which workers in processes of their own write their entries and tell what they run. OnCrash, if
+// set, is called by a worker that a request crashes.
+func (f *fleet) serveAdmin(onCrash func(worker, request string)) (address string, err error) {
 	address = f.address(1, portStore+1)
-	return address, f.serve(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f.putEntry(r, r.URL.Query().Get("id"))
+	return address, f.serve(address, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		switch r.URL.Path {
+		case "/entry":
+			if b, err := io.ReadAll(r.Body); err == nil {
+				f.putEntry(q.Get("id"), b)
+			}
+		case "/line":
+			f.record.add("%s: %s", q.Get("id"), q.Get("text"))
+		case "/crash":
+			onCrash(q.Get("id"), q.Get("request"))
+		}
 	}))
 }
 
-// putEntry writes an entry that a worker sent.
-func (f *fleet) putEntry(r *http.Request, id string) {
-	b, err := io.ReadAll(r.Body)
-	if err == nil {
-		f.store.PutBytes(standinServers, id, b)
+// putEntry writes the entry of a worker.
+func (f *fleet) putEntry(id string, b []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.beats == nil {
+		f.beats = map[string]time.Time{}
 	}
+	f.beats[id] = time.Now()
+	f.store.PutBytes(tableServers, id, b)
 }
 
-const standinServers = "servers"
+// keepEntry writes the entry of a worker in this process each heartbeat.
+func (f *fleet) keepEntry(id string, e entry) {
+	go func() {
+		for ; ; time.Sleep(heartbeat) {
+			e.Sequence++
+			if b, err := json.Marshal(e); err == nil {
+				f.putEntry(id, b)
+			}
+		}
+	}()
+}
+
+// expireEntries removes the entries of workers that are silent, as the platform does.
+func (f *fleet) expireEntries() {
+	for ; ; time.Sleep(silentAfter / 20) {
+		f.mu.Lock()
+		for id, at := range f.beats {
+			if time.Since(at) > silentAfter {
+				delete(f.beats, id)
+				f.store.Remove(tableServers, id)
+				f.record.add("the entry of %s is removed", id)
+			}
+		}
+		f.mu.Unlock()
+	}
+}
 
 // start starts a program.
 func (f *fleet) start(name string, env []string, args ...string) (*process, error) {
--- a/review/rig-2/handles.go
+++ b/review/rig-2/handles.go
@@ -17,13 +17,14 @@
 	modelGap     = 100 * time.Millisecond
 	requestLimit = 6 * time.Second
 	arriveLimit  = 4 * time.Second
+	startSpread  = 200 * time.Millisecond // machines start within 0.3 s of each other
 )
 
 // runHandles lets a zone lose power in which the coordinator of the region and the stage worker are, while requests that the coordinator
 // has granted wait at a model worker in another zone. The stage worker starts again and gives out its handles anew.
 func runHandles(f *fleet, trouble bool) error {
 	f.store.Put("op", "config", handlesConfig())
-	admin, err := f.serveAdmin()
+	admin, err := f.serveAdmin(nil)
 	if err != nil {
 		return err
 	}
@@ -41,10 +42,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.awaitReady(lost); err != nil {
-		return err
-	}
-	time.Sleep(settle) // the node that registers first is the coordinator
+	time.Sleep(startSpread) // the node that registers first is the coordinator
 	if _, err := f.startAll([]node{kept}); err != nil {
 		return err
 	}
--- a/review/rig-2/model.go
+++ b/review/rig-2/model.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,15 +31,9 @@
 	waiting map[string]int // inputs of requests that wait, by address
 }
 
-// register writes the worker's entry until the store is closed.
+// register writes the worker's entry.
 func (m *modelWorker) register(f *fleet) {
-	e := entry{Service: "bergamot-llm", Address: m.address, Zone: m.zone, Version: "1", Slots: cap(m.slots), State: "ready", Born: time.Now().UnixMilli()}
-	go func() {
-		for ; ; time.Sleep(heartbeat) {
-			e.Sequence++
-			f.store.Put(standinServers, m.id, e)
-		}
-	}()
+	f.keepEntry(m.id, entry{Service: "bergamot-llm", Address: m.address, Zone: m.zone, Version: "1", Slots: cap(m.slots), State: "ready", Born: time.Now().UnixMilli()})
 }
 
 // counts returns how many requests have arrived, and the inputs that belonged to other requests.
@@ -86,12 +81,15 @@
 	m.arrived++
 	m.mu.Unlock()
 	m.record.add("%s: request %s arrives, inputs %v", m.id, id, inputs)
+	ctx, cancel := limited(r)
+	defer cancel()
 	m.await(inputs, 1)
 	select {
 	case m.slots <- struct{}{}:
 		m.await(inputs, -1)
-	case <-r.Context().Done():
+	case <-ctx.Done():
 		m.await(inputs, -1)
+		notRun(w, http.StatusServiceUnavailable) // its time limit has passed in the queue, or its caller has left
 		return
 	}
 	defer func() { <-m.slots }()
@@ -99,7 +97,10 @@
 		notRun(w, http.StatusConflict)
 		return
 	}
-	m.stream(w, r, id, m.begin())
+	m.record.add("%s: request %s runs", m.id, id)
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
+	sendEvents(ctx, w, "stamp."+m.id+"."+id, from+1, m.begin(), m.gap)
+	m.record.add("%s: request %s has run", m.id, id)
 }
 
 // begin counts a run, and returns how many events its stream has.
@@ -145,21 +146,27 @@
 	return true
 }
 
-// stream sends the events after the last one that the caller has.
-func (m *modelWorker) stream(w http.ResponseWriter, r *http.Request, id string, events int) {
-	m.record.add("%s: request %s runs", m.id, id)
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if there is none
-	w.Header().Set("X-Bergamotspring-Server-Stamp", "stamp."+m.id+"."+id)
+// limited returns the context of a request at a worker, which stops work at the time limit that it was sent.
+func limited(r *http.Request) (context.Context, context.CancelFunc) {
+	n, err := strconv.Atoi(r.Header.Get("X-Bergamotspring-Deadline-Ms"))
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(n)*time.Millisecond)
+}
+
+// sendEvents sends the events of a stream. It breaks the stream off when the context ends.
+func sendEvents(ctx context.Context, w http.ResponseWriter, stamp string, from, to int, gap time.Duration) {
+	w.Header().Set("X-Bergamotspring-Server-Stamp", stamp)
 	w.Header().Set("X-Bergamotspring-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := from + 1; n <= events; n++ {
+	for n := from; n <= to; n++ {
 		select {
-		case <-time.After(m.gap):
-		case <-r.Context().Done():
-			return
+		case <-time.After(gap):
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n)
 		_ = http.NewResponseController(w).Flush() // the caller may have left
 	}
-	m.record.add("%s: request %s has run", m.id, id)
 }
--- a/review/rig-2/paths.go
+++ b/review/rig-2/paths.go
@@ -22,15 +22,9 @@
 	ran map[string]bool // ids of requests
 }
 
-// register writes the worker's entry until the store is closed.
+// register writes the worker's entry.
 func (p *plainWorker) register(f *fleet, address, zone string) {
-	e := entry{Service: p.service, Address: address, Zone: zone, Version: "1", Slots: 6, State: "ready", Born: time.Now().UnixMilli()}
-	go func() {
-		for ; ; time.Sleep(heartbeat) {
-			e.Sequence++
-			f.store.Put(standinServers, p.id, e)
-		}
-	}()
+	f.keepEntry(p.id, entry{Service: p.service, Address: address, Zone: zone, Version: "1", Slots: 6, State: "ready", Born: time.Now().UnixMilli()})
 }
 
 // ServeHTTP serves a request.
--- a/review/rig-2/poison.go
+++ b/review/rig-2/poison.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -14,7 +13,7 @@
 	mostRetries   = 3                      // later than contact after the third crash
 	workerBack    = 3 * time.Second        // a worker is back after some seconds
 	nodesBack     = time.Second            // from the kill of the nodes to their start
-	comesAgain    = 700 * time.Millisecond // between two requests
+	comesAgain    = 700 * time.Millisecond // from an answer to the next request
 	comesAgainFor = 12 * time.Second
 	soundPause    = 250 * time.Millisecond // between two sound requests
 	draftLimit    = 6 * time.Second
@@ -139,27 +138,19 @@
 
 // startPoisonWorkers starts the model workers, and again after each crash.
 func (f *fleet) startPoisonWorkers(crashes *crashLog, stop chan struct{}) error {
-	admin := f.address(1, portStore+1)
-	err := f.serve(admin, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		q := r.URL.Query()
-		if r.URL.Path == "/crash" {
-			crashes.add(q.Get("id"), q.Get("request"))
-			return
-		}
-		f.putEntry(r, q.Get("id"))
-	}))
+	admin, err := f.serveAdmin(crashes.add)
 	for n, zone := range poisonWorkers {
 		err = errors.Join(err, f.keepWorker(n, zone, admin, stop))
 	}
 	return err
 }
 
-// comeAgain sends the request to nodes in turn for some time, and waits for the answers.
+// comeAgain sends the request to nodes in turn for some time, each time after the answer to the one before and its Retry-After.
 func (c *consumers) comeAgain(l []node) {
-	stop := make(chan struct{})
-	time.AfterFunc(comesAgainFor, func() { close(stop) })
-	c.sendAll(l, comesAgain, stop)
-	c.wait.Wait()
+	for end, n := time.Now().Add(comesAgainFor), 0; time.Now().Before(end); n++ {
+		after := c.exchange(l[n%len(l)], newID())
+		time.Sleep(max(comesAgain, min(after, c.limit/3)))
+	}
 }
 
 func poisonConfig() map[string]any {
--- a/review/rig-2/regions.go
+++ b/review/rig-2/regions.go
@@ -19,7 +19,7 @@
 func runRegions(f *fleet, trouble bool) error {
 	f.zones["nue-a"] = "franken"
 	f.store.Put("op", "config", handlesConfig())
-	admin, err := f.serveAdmin()
+	admin, err := f.serveAdmin(nil)
 	if err != nil {
 		return err
 	}
--- a/review/rig-2/stage.go
+++ b/review/rig-2/stage.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -24,19 +23,21 @@
 
 // item is one piece of a call.
 type item struct {
-	ID      string   `json:"id"`
-	Stage   int      `json:"stage"`
-	Segment int      `json:"segment"`
-	Key     string   `json:"key,omitempty"`
-	Inputs  []string `json:"inputs,omitempty"`
+	ID        string   `json:"id"`
+	Stage     int      `json:"stage"`
+	Segment   int      `json:"segment"`
+	Key       string   `json:"key,omitempty"`
+	Inputs    []string `json:"inputs,omitempty"`
+	Remaining int64    `json:"remaining-ms,omitempty"`
 }
 
 // stageWorker is one boot of a stage worker. It numbers its results from 1: after a restart it knows nothing of
 // before, and its counts start anew.
 type stageWorker struct {
-	id, address string
-	born        int64
-	slot        chan struct{}
+	id, address, admin string
+
+	born int64
+	slot chan struct{}
 
 	mu      sync.Mutex
 	calls   int // that run or wait
@@ -66,31 +67,11 @@
 	address := f.String("address", "", "where it listens")
 	admin := f.String("admin", "", "where it writes its entry")
 	_ = f.Parse(args) // exits on errors
-	w := &stageWorker{id: *id, address: *address, born: time.Now().UnixMilli(), slot: make(chan struct{}, 1), results: map[string]item{}}
-	go func() {
-		e := entry{Service: *service, Address: *address, Zone: *zone, Version: "1", Slots: 1, State: "ready", Born: w.born}
-		for ; ; time.Sleep(heartbeat) {
-			e.Sequence++
-			if err := putEntry(*admin, *id, e); err != nil {
-				log.Print(err)
-			}
-		}
-	}()
+	w := &stageWorker{id: *id, address: *address, admin: *admin, born: time.Now().UnixMilli(), slot: make(chan struct{}, 1), results: map[string]item{}}
+	go sendEntries(*admin, *id, entry{Service: *service, Address: *address, Zone: *zone, Version: "1", Slots: 1, State: "ready", Born: w.born})
 	log.Fatal(http.ListenAndServe(*address, w))
 }
 
-func putEntry(admin, id string, e entry) error {
-	b, err := json.Marshal(e)
-	if err != nil {
-		return err
-	}
-	r, err := http.Post("http://"+admin+"/?id="+id, "application/json", bytes.NewReader(b))
-	if err != nil {
-		return err
-	}
-	return r.Body.Close()
-}
-
 // ServeHTTP serves a call.
 func (s *stageWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -139,17 +120,23 @@
 		return
 	}
 	defer s.leave()
+	arrived := time.Now()
 	select {
 	case s.slot <- struct{}{}:
 	case <-r.Context().Done():
 		return
 	}
 	defer func() { <-s.slot }()
+	waited := time.Since(arrived)
 	time.Sleep(stageCall + time.Duration(len(q.Items))*stageItem)
 	var l []map[string]string
 	for _, i := range q.Items {
+		if i.Remaining > 0 && waited.Milliseconds() > i.Remaining {
+			l = append(l, map[string]string{"reason": "late"})
+			continue
+		}
 		h := s.keep(i)
-		log.Printf("made %s for %s/%d/%d", h, i.ID, i.Stage, i.Segment)
+		tellLine(s.admin, s.id, fmt.Sprintf("made %s, piece %d/%d of request %s", h, i.Stage, i.Segment, i.ID))
 		l = append(l, map[string]string{"handle": h})
 	}
 	w.Header().Set("X-Bergamotspring-Load-Report", "1,0,1")
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -2,10 +2,10 @@
 
 import (
 	"flag"
-	"fmt"
 	"io"
 	"log"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -17,6 +17,9 @@
 // firstEvent is the time from the arrival of a request to its run at a worker without other requests.
 const firstEvent = 40 * time.Millisecond
 
+// eventGap is the time between two events.
+const eventGap = 30 * time.Millisecond
+
 // plainModel is a model worker in a process of its own, without stages. It ends when it begins to run a poison request.
 type plainModel struct {
 	id, admin string
@@ -31,15 +34,7 @@
 	address := f.String("address", "", "where it listens")
 	admin := f.String("admin", "", "where it writes its entry and what it runs")
 	_ = f.Parse(args) // exits on errors
-	go func() {
-		e := entry{Service: "bergamot-llm", Address: *address, Zone: *zone, Version: "1", Slots: 96, State: "ready", Born: time.Now().UnixMilli()}
-		for ; ; time.Sleep(heartbeat) {
-			e.Sequence++
-			if err := putEntry(*admin, *id, e); err != nil {
-				log.Print(err)
-			}
-		}
-	}()
+	go sendEntries(*admin, *id, entry{Service: "bergamot-llm", Address: *address, Zone: *zone, Version: "1", Slots: 96, State: "ready", Born: time.Now().UnixMilli()})
 	log.Fatal(http.ListenAndServe(*address, &plainModel{id: *id, admin: *admin, events: 10}))
 }
 
@@ -61,22 +56,11 @@
 	}
 	time.Sleep(firstEvent)
 	if strings.Contains(string(body), poison) {
-		m.tell(id)
+		_ = tell(m.admin, "/crash", url.Values{"id": {m.id}, "request": {id}}, nil) // the case counts what it was told
 		os.Exit(1)
 	}
-	w.Header().Set("X-Bergamotspring-Server-Stamp", "stamp."+m.id+"."+id)
-	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= m.events; n++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n)
-		_ = http.NewResponseController(w).Flush() // the caller may have left
-		time.Sleep(30 * time.Millisecond)
-	}
-}
-
-// tell says that a poison request begins to run here.
-func (m *plainModel) tell(request string) {
-	r, err := http.Post("http://"+m.admin+"/crash?id="+m.id+"&request="+request, "text/plain", nil)
-	if err == nil {
-		_ = r.Body.Close() // nothing is in it
-	}
+	tellLine(m.admin, m.id, "runs request "+id)
+	ctx, cancel := limited(r)
+	defer cancel()
+	sendEvents(ctx, w, "stamp."+m.id+"."+id, 1, m.events, eventGap)
 }
