io/edge: a node logs what it knows of crashes once it has asked others at its start

Four hypotheses fit what callers saw, and the log could not tell them apart:

No node knows of the crashes any more. 2. Nodes know of them, but do not take them over from each other. 3. The request has another fingerprint after the restart. 4. Nodes know of it, and let it run as a trial.

crashes_known says what a node knows once it has asked the others: 0 of both on all nodes is 1; crashes on some is 2. server_crashed has the fingerprint (3), trial tells 4.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -264,6 +264,13 @@
 	return slices.ContainsFunc(c.culprits, func(k Culprit) bool { return k.shares(r) })
 }
 
+// Known returns the number of recorded crashes and that of culprits.
+func (c *Counter) Known() (crashes, culprits int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.crashes), len(c.culprits)
+}
+
 // keepCrashes records when a request was refused for a culprit, on this node or another. The lock is held.
 func (c *Counter) keepCrashes(k Culprit, usedAt time.Time) {
 	for _, x := range c.crashes {
--- a/io/edge/culprits.go
+++ b/io/edge/culprits.go
@@ -42,6 +42,8 @@
 	for time.Since(start) < startAskTime && !n.exchangeCulprits(ctx) && ctx.Err() == nil {
 		wait.Sleep(ctx, startAskInterval)
 	}
+	crashes, culprits := n.crashes.Known()
+	n.Log.Info("crashes_known", zap.Int("crashes", crashes), zap.Int("culprits", culprits))
 	wait.Every(ctx, culpritInterval, func() {
 		if time.Since(start) < startAskTime || len(n.crashes.Notices()) > 0 {
 			n.exchangeCulprits(ctx)
