--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -198,6 +198,22 @@
 	return oldest, oldest.Peer != ""
 }
 
+// Before returns the number of nodes that respond and registered before a node, or, if it is not registered, of all that
+// respond.
+func (r *Roster) Before(peer string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire()
+	self, registered := r.nodes[peer]
+	n := 0
+	for _, x := range r.nodes {
+		if x.Peer != peer && r.rank(x) == 0 && (!registered || cmp.Or(cmp.Compare(x.Order, self.Order), strings.Compare(x.Peer, peer)) < 0) {
+			n++
+		}
+	}
+	return n
+}
+
 // Others returns the nodes that are not in a region.
 func (r *Roster) Others(region string) []Node {
 	return slices.DeleteFunc(slices.Clone(r.All()), func(n Node) bool { return n.Region == region })
--- a/core/suspect/clearances.go
+++ b/core/suspect/clearances.go
@@ -46,3 +46,23 @@
 	}
 	return n, taken
 }
+
+// uncleared returns what remains of requests that were in a crash after the clearances since then.
+func (l clearances) uncleared(requests []Request, crashedAt time.Time) []Request {
+	var left []Request
+	for _, r := range requests {
+		r.Segments = slices.Clone(r.Segments)
+		cleared := false
+		for _, x := range l {
+			if !x.at.After(crashedAt) {
+				continue
+			}
+			cleared = cleared || x.request.Fingerprint != 0 && x.request.Fingerprint == r.Fingerprint
+			r.Segments = slices.DeleteFunc(r.Segments, func(s uint64) bool { return slices.Contains(x.request.Segments, s) })
+		}
+		if !cleared {
+			left = append(left, r)
+		}
+	}
+	return left
+}
--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -51,6 +51,7 @@
 	trials     trials
 	watchers   map[*watcher]struct{}
 	excused    map[string]time.Time // servers, by when Excuse was called
+	revision   Revision
 }
 
 // crash is one crash of a server.
@@ -62,6 +63,20 @@
 	requests []Request // in flight, their segments sorted and without those that were cleared
 }
 
+// size returns the number of requests and segments in a crash.
+func (x *crash) size() int {
+	n := 0
+	for _, r := range x.requests {
+		n += r.size()
+	}
+	return n
+}
+
+// is reports whether a report at a time of a server's crash is about this one.
+func (x *crash) is(server string, at time.Time) bool {
+	return x.server == server && at.Sub(x.at).Abs() < sameCrash
+}
+
 // watcher waits for a request to become poison.
 type watcher struct {
 	request Request
@@ -83,7 +98,21 @@
 		c.mu.Unlock()
 		return
 	}
-	x := c.crashOf(server)
+	if c.addRequests(c.crashOf(server), requests) {
+		c.revision.Learned++
+	}
+	c.evict()
+	notify := func() {}
+	if c.now().Sub(c.searchedAt) >= searchInterval {
+		notify = c.search()
+	}
+	c.mu.Unlock()
+	notify()
+}
+
+// addRequests adds requests to a crash, and reports whether there was anything new in them. The lock is held.
+func (c *Counter) addRequests(x *crash, requests []Request) bool {
+	added := false
 	for _, r := range requests {
 		i := slices.IndexFunc(x.requests, func(y Request) bool { return y.Fingerprint == r.Fingerprint })
 		if i >= 0 && len(x.requests[i].Segments) >= len(r.Segments) {
@@ -97,26 +126,19 @@
 		x.requests = append(x.requests, r)
 		c.counted += r.size()
 		c.index.add(r)
+		added = true
 	}
 	c.stale = true
-	c.evict()
 	if c.index.size() > 2*max(c.counted, maxCounted) {
 		c.index = newIndex(c.crashes)
 	}
-	notify := func() {}
-	if c.now().Sub(c.searchedAt) >= searchInterval {
-		notify = c.search()
-	}
-	c.mu.Unlock()
-	notify()
+	return added
 }
 
 // crashOf returns the crash of a server that is being reported. The lock is held.
 func (c *Counter) crashOf(server string) *crash {
-	for _, x := range c.crashes {
-		if x.server == server && c.now().Sub(x.at) < sameCrash {
-			return x
-		}
+	if x := c.find(server, c.now()); x != nil {
+		return x
 	}
 	x := &crash{server: server, at: c.now(), usedAt: c.now()}
 	if c.Domain != nil {
@@ -126,6 +148,16 @@
 	return x
 }
 
+// find returns the crash of a server that a report at a time is about, or nil. The lock is held.
+func (c *Counter) find(server string, at time.Time) *crash {
+	for _, x := range c.crashes {
+		if x.is(server, at) {
+			return x
+		}
+	}
+	return nil
+}
+
 // evict deletes what has expired, and the oldest crashes if too much is counted. The lock is held.
 func (c *Counter) evict() {
 	if now := c.now(); now.Sub(c.expiredAt) >= expireInterval {
@@ -143,17 +175,20 @@
 		c.stale = true
 	}
 	for i := len(c.crashes) - 1; i >= 0; i-- {
-		if x := c.crashes[i]; now.Sub(x.at) > countedFor && now.Sub(x.usedAt) > crashTTL {
+		if x := c.crashes[i]; hasExpired(x.at, x.usedAt, now) {
 			c.remove(i)
 		}
 	}
 }
 
+// hasExpired reports whether a crash does not count any more.
+func hasExpired(at, usedAt, now time.Time) bool {
+	return now.Sub(at) > countedFor && now.Sub(usedAt) > crashTTL
+}
+
 // remove deletes a crash. The lock is held.
 func (c *Counter) remove(i int) {
-	for _, r := range c.crashes[i].requests {
-		c.counted -= r.size()
-	}
+	c.counted -= c.crashes[i].size()
 	c.crashes = slices.Delete(c.crashes, i, i+1)
 	c.stale = true
 }
@@ -208,6 +243,7 @@
 	}
 	notify := func() {}
 	if cleared {
+		c.revision.Cleared++
 		c.notices.clearances.add(r, c.now())
 		notify = c.search()
 	}
@@ -312,7 +348,10 @@
 		n.From = from
 		renewedAt, adopted := c.notices.merge(n)
 		c.keepCrashes(n.Culprit, renewedAt)
-		c.stale = c.stale || adopted
+		if adopted {
+			c.stale = true
+			c.revision.Learned++
+		}
 	}
 	notify := func() {}
 	if c.stale {
--- a/core/suspect/excuse.go
+++ b/core/suspect/excuse.go
@@ -22,8 +22,9 @@
 	}
 	c.excused[server] = now
 	for i := len(c.crashes) - 1; i >= 0; i-- {
-		if x := c.crashes[i]; x.server == server && now.Sub(x.at) < sameCrash {
+		if c.crashes[i].is(server, now) {
 			c.remove(i)
+			c.revision.Cleared++
 		}
 	}
 	notify := c.search()
--- a/io/edge/culprits.go
+++ b/io/edge/culprits.go
@@ -1,7 +1,7 @@
 package edge
 
 // This file defines how nodes pass on what crashes servers, again and again, so that nodes learn of it that
-// started after the crashes or were out of reach. After the loss of all nodes at once nothing is known.
+// started after the crashes or were out of reach. After the loss of all nodes at once, crashrecord.go tells them.
 
 import (
 	"context"
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -287,14 +287,22 @@
 	}
 }
 
-// runMesh gets the fleet's key, serves other nodes, and maintains the registrations.
+// runMesh gets the fleet's key and what is known of crashes, serves other nodes, and maintains the registrations.
 func (n *Node) runMesh(ctx context.Context) {
-	key := n.peerKey(ctx)
-	if key == nil {
+	fleet, ok := n.joinFleet(ctx)
+	if !ok {
 		return
 	}
+	record := crashRecord{store: &n.store, crashes: &n.crashes, rank: func() int { return n.roster.Before(n.self.Peer) }, log: n.Log, era: n.store.Era()}
+	record.restore(fleet.Crashes)
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		record.run(ctx)
+	}()
+	defer func() { <-recorded }()
 	m := &peer.Mesh{
-		Self: lease.Instance{Node: n.self.Name, Incarnation: n.self.Incarnation}, Key: key,
+		Self: lease.Instance{Node: n.self.Name, Incarnation: n.self.Incarnation}, Key: fleet.Key,
 		Dial: n.Dial, Listen: n.Listen,
 		OnHeld:  n.countPeerBytes,
 		OnHello: func(a string, _ lease.Instance) { n.roster.MarkAlive(a) },
@@ -315,21 +323,21 @@
 		return
 	}
 	n.mesh.Store(m)
-	go n.keepPeerKey(ctx, key)
+	go n.keepPeerKey(ctx, fleet.Key)
 	n.maintainRegistrations(ctx)
 }
 
-// peerKey returns the fleet's key, or nil if the context ends before it is known.
-func (n *Node) peerKey(ctx context.Context) []byte {
+// joinFleet returns what the nodes keep in the store, and false if the context ends before it is known.
+func (n *Node) joinFleet(ctx context.Context) (platform.Fleet, bool) {
 	for pause := retryMin; ctx.Err() == nil; pause = min(2*pause, retryMax) {
-		k, err := platform.PeerKey(ctx, &n.store)
+		f, err := platform.JoinFleet(ctx, &n.store)
 		if err == nil {
-			return k
+			return f, true
 		}
 		n.Log.Warn("peer_key_failed", zap.Error(err))
 		wait.Sleep(ctx, pause)
 	}
-	return nil
+	return platform.Fleet{}, false
 }
 
 // handleHangups calls Reload for each value from Hangup until the context ends.
