io/proxy: log lines name the target of a request, and requests that are not allowed

The log could not tell these hypotheses apart:

The route is chosen by another path than the one that arrived: target beside route.

Lines of requests have their target now, and those that get 400, 401 or 404 a line of their own, which they had not."

--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -24,6 +24,9 @@
 	"bergamotspring/io/exchange"
 )
 
+// maxLoggedTarget bounds the target of a request in log lines, in bytes.
+const maxLoggedTarget = 128
+
 // errStopping is the cause of the end of a context when the process is about to end.
 var errStopping = errors.New("node stops")
 
@@ -213,10 +216,13 @@
 	First        time.Duration // to the first event of a stream; 0 if none was sent
 }
 
+// loggedTarget returns the target of the request, cut to maxLoggedTarget.
+func (q *request) loggedTarget() string { return q.target[:min(len(q.target), maxLoggedTarget)] }
+
 // log logs an event of the request.
 func (q *request) log(event string, fields ...zap.Field) {
 	q.server.Log.Info(event, append([]zap.Field{
-		zap.String("request", q.meta.ID), zap.String("route", q.route.Name), zap.String("service", q.service),
+		zap.String("request", q.meta.ID), zap.String("target", q.loggedTarget()), zap.String("route", q.route.Name), zap.String("service", q.service),
 		zap.Int64("version", q.version), zap.Duration("after", time.Since(q.arrived)), zap.Int("sends", q.sends),
 	}, fields...)...)
 }
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -71,17 +71,14 @@
 		host = h
 	}
 	if q.route = v.Match(host, r.URL.Path); q.route == nil {
-		http.Error(q.out, "no such route", http.StatusNotFound)
-		return false
+		return q.reject("no such route", http.StatusNotFound)
 	}
 	var allowed bool
 	if q.org, allowed = v.Organisation(q.route, q.meta.Key); !allowed {
-		http.Error(q.out, "unknown key", http.StatusUnauthorized)
-		return false
+		return q.reject("unknown key", http.StatusUnauthorized)
 	}
 	if q.meta.ID == "" {
-		http.Error(q.out, "no request id", http.StatusBadRequest)
-		return false
+		return q.reject("no request id", http.StatusBadRequest)
 	}
 	q.service, q.version = q.route.Pick(q.meta.ID), v.Config.Version
 	d := q.route.Timeout
@@ -95,6 +92,17 @@
 	return true
 }
 
+// reject responds that the request is not allowed, and returns false.
+func (q *request) reject(reason string, status int) bool {
+	route := ""
+	if q.route != nil {
+		route = q.route.Name
+	}
+	q.server.Log.Info("rejected", zap.String("request", q.meta.ID), zap.String("target", q.loggedTarget()), zap.String("route", route), zap.String("reason", reason), zap.Int("status", status))
+	http.Error(q.out, reason, status)
+	return false
+}
+
 // refuse responds that the request was not and will not be run, and when to retry.
 func refuse(w http.ResponseWriter, after time.Duration) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
