--- a/core/relay/view.go
+++ b/core/relay/view.go
@@ -62,8 +62,7 @@
 	return 0
 }
 
-// Match returns the route of the host with the longest prefix that matches the path,
-// or nil.
+// Match returns the route of the host with the longest prefix that matches the path, as it was sent, or nil.
 func (v *View) Match(host, path string) *Route {
 	for _, r := range v.routesByHost[host] {
 		if strings.HasPrefix(path, r.Prefix) {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -277,6 +277,7 @@
 	return &http.Server{
 		Addr: n.Settings.Callers, Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(n.Log), ConnContext: proxy.ConnContext,
+		DisableGeneralOptionsHandler: true, // the proxy answers all requests
 	}
 }
 
--- a/io/proxy/proxy.go
+++ b/io/proxy/proxy.go
@@ -128,7 +128,7 @@
 	service  string
 	version  int64 // of the configuration that matched the request
 	method   string
-	target   string
+	target   string // as it arrived; see originForm
 	host     string
 	header   http.Header
 	body     []byte
@@ -156,7 +156,7 @@
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{server: s, arrived: time.Now(), out: w, method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header, ending: endingOf(r)}
+	q := &request{server: s, arrived: time.Now(), out: w, method: r.Method, target: originForm(r), host: r.Host, header: r.Header, ending: endingOf(r)}
 	if s.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -70,7 +70,7 @@
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	if q.route = v.Match(host, r.URL.Path); q.route == nil {
+	if q.route = v.Match(host, q.path()); q.route == nil {
 		return q.reject("no such route", http.StatusNotFound)
 	}
 	var allowed bool
