platform: an empty key is no key

An organisation with an empty key in its list had requests without a key run as its own: Api-Key is then empty too.

--- a/io/edge/tenants_test.go
+++ b/io/edge/tenants_test.go
@@ -38,3 +38,18 @@
 		send("a configuration without organisations", 200)
 	})
 }
+
+// Guards against an organisation with an empty key, by which requests without a key would run.
+func TestEmptyKey(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		w.configure(2, func(c map[string]any) {
+			c["tenants"] = []any{map[string]any{"name": "org", "api-keys": []string{"", "key"}}}
+		})
+		time.Sleep(configApply)
+		for key, want := range map[string]int{"key": 200, "": 401, "unknown": 401} {
+			if r := w.request("a1", http.MethodPost, "/file/x", "k"+key, "Api-Key", key); r.status != want || want != 200 && w.runCount("k"+key) > 0 {
+				t.Errorf("key %q: got %d, want %d", key, r.status, want)
+			}
+		}
+	})
+}
