--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -17,9 +17,10 @@
 		Route{Name: "short", Host: "h", Prefix: "/a/"},
 		Route{Name: "long", Host: "h", Prefix: "/a/b/"},
 		Route{Name: "other", Host: "o", Prefix: "/"},
+		Route{Name: "mixed", Host: "Mixed", Prefix: "/a"},
 	), nil, nil)
 	for _, c := range []struct{ host, path, want string }{
-		{"h", "/a/x", "short"}, {"h", "/a/b/x", "long"}, {"h", "/a/b", "short"}, {"h", "/ab/", ""}, {"o", "/any", "other"}, {"x", "/a/", ""},
+		{"h", "/a/x", "short"}, {"H", "/a/x", "short"}, {"mixed", "/a", "mixed"}, {"MiXED", "/A", ""}, {"h", "/a/b/x", "long"}, {"h", "/a/b", "short"}, {"h", "/ab/", ""}, {"o", "/any", "other"}, {"x", "/a/", ""},
 	} {
 		got := ""
 		if r := v.Match(c.host, c.path); r != nil {
--- a/core/relay/view.go
+++ b/core/relay/view.go
@@ -21,7 +21,7 @@
 	// they are leaving, in no order.
 	Departing map[string][]string
 
-	routesByHost     map[string][]*Route // longest prefix first
+	routesByHost     map[string][]*Route // by host in lower case, longest prefix first
 	serviceByAddress map[string]string   // of each address
 }
 
@@ -42,7 +42,8 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		v.routesByHost[r.Host] = append(v.routesByHost[r.Host], r)
+		h := strings.ToLower(r.Host)
+		v.routesByHost[h] = append(v.routesByHost[h], r)
 	}
 	for _, l := range v.routesByHost {
 		slices.SortStableFunc(l, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -62,9 +63,10 @@
 	return 0
 }
 
-// Match returns the route of the host with the longest prefix that matches the path, as it was sent, or nil.
+// Match returns the route of the host, in any case of its letters, with the longest prefix that matches the path, as it was
+// sent, or nil.
 func (v *View) Match(host, path string) *Route {
-	for _, r := range v.routesByHost[host] {
+	for _, r := range v.routesByHost[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
