--- a/io/edge/testfleet_test.go
+++ b/io/edge/testfleet_test.go
@@ -167,7 +167,7 @@
 			w.processes.Store(s.Address, s)
 			w.serve(s.Address, http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) {
 				p, _ := w.processes.Load(s.Address)
-				p.(*platformstandin.Server).ServeHTTP(a, r)
+				p.(http.Handler).ServeHTTP(a, r)
 			}))
 			w.register(s, service, d, "ready", 0)
 		}
--- a/io/standin/endless.go
+++ b/io/standin/endless.go
@@ -18,6 +18,7 @@
 type Endless struct {
 	Start, Part string
 	Gap         time.Duration // between writes
+	Any         bool          // it answers anything that connects, not only requests
 	// Taken counts the bytes that were read from connections of Count, Conns the connections.
 	Taken, Conns atomic.Int64
 }
@@ -59,11 +60,13 @@
 func (e *Endless) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	e.Conns.Add(1)
-	r, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
+	if !e.Any {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
 	part := strings.Repeat(e.Part, 1+4096/len(e.Part))
 	for x := e.Start; ; x = part {
 		if _, err := io.WriteString(c, x); err != nil {
