--- a/core/placement/grant.go
+++ b/core/placement/grant.go
@@ -49,7 +49,7 @@
 		h.fairness.count(j.request.fairnessKeys(), true)
 	}
 	h.work.Decisions = append(h.work.Decisions, Decision{
-		Key: j.request.Key, Attempt: j.request.Attempt, Server: *e.server, Inputs: j.leafHandles(), KVSource: h.kvSource(j, e.modelServer), Waited: h.Now().Sub(j.arrived),
+		Key: j.request.Key, Attempt: j.request.Attempt, Server: *e.server, Inputs: j.leafHandles(), Makers: j.makers(), KVSource: h.kvSource(j, e.modelServer), Waited: h.Now().Sub(j.arrived),
 		Running: e.load.InFlight(), Candidates: e.candidates, Cost: e.cost, MeanCost: e.mean, Held: e.held.tokens, OverShare: j.rank.over,
 	})
 	h.addGrant(j, e.modelServer)
--- a/core/placement/occupants.go
+++ b/core/placement/occupants.go
@@ -122,6 +122,9 @@
 
 // mayStore reports whether a server may get a batch: no result of another process at its address is in use.
 func (h *Scheduler) mayStore(m *stageServer) bool {
+	if !h.isProven(m.maker()) {
+		return false
+	}
 	now := h.Now()
 	return !slices.ContainsFunc(h.occupants[m.server.Address], func(o *stageServer) bool {
 		return o != m && (o.isRead(now) || !o.lost && h.usesResults(o))
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -108,8 +108,12 @@
 	Attempt  int // of the request
 	Server   relay.Server
 	Inputs   []string // handles for the model server
+	Makers   []Maker  // processes that made the inputs
 	KVSource string   // address of a model server that holds more of the prompt, or empty
 	Reason   string   // of a refusal
+	// Outdated says that a process which made inputs has ended, as the request's node knows: they must not be read. It is
+	// not sent.
+	Outdated bool
 	// What the decision was based on, for the coordinator's log. It is not sent to nodes.
 	Waited     time.Duration // since the submission
 	Running    int           // other requests at the server
@@ -188,13 +192,15 @@
 }
 
 // Work is what the scheduler wants done. Batches, releases and queries are sent at once, and
-// their ends are passed to OnBatch, OnRelease and OnCapacity; decisions go to the nodes.
+// their ends are passed to OnBatch, OnRelease and OnCapacity; decisions go to the nodes, inquiries to all of them.
 type Work struct {
 	Progress  []ProgressReport
 	Decisions []Decision
 	Batches   []Batch
 	Releases  []ReleaseResults
 	Queries   []CapacityQuery
+	Inquiries []Inquiry
+	Proven    []Maker  // of which the schedulers of all nodes are to know
 	Exhausted []string // IDs of model servers that crashed for want of memory
 }
 
--- a/core/placement/pool.go
+++ b/core/placement/pool.go
@@ -130,6 +130,7 @@
 		}
 	}
 	h.pruneOccupants()
+	h.pruneProofs()
 }
 
 // usesResults reports whether a job uses a result at a server; results may take no bytes.
@@ -184,6 +185,7 @@
 
 // setStageServer stores the state of a server in place of an earlier one.
 func (h *Scheduler) setStageServer(q *stagePool, m *stageServer) {
+	h.states++
 	q.stageServers[m.server.ID] = m
 	q.nearestView = nil
 	h.occupants[m.server.Address] = append(h.occupants[m.server.Address], m)
@@ -228,6 +230,7 @@
 		h.fill(q, s.Batching)
 	}
 	h.releaseResults()
+	h.inquire()
 }
 
 // fill starts a batch for each server of a pool that can take one. It also records new and
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -44,6 +44,11 @@
 	TakeRetry  func(service string) bool
 	// Rollouts restricts the versions of stage servers; nil: any version gets tasks.
 	Rollouts *Rollouts
+	// StartedLately reports whether a process of a stage server may have started less than ReadTime ago. Such a one gets its
+	// first batch after an Inquiry. Nil: there are no other coordinators, and no inquiries. Coordinates, needed with it, reports
+	// whether this is the coordinator of its region.
+	StartedLately func(p relay.Process) bool
+	Coordinates   func() bool
 	// Shares says that organisations and routes have shares of contended services, see shares.go.
 	Shares bool
 	// Weight returns the weight of an organisation in the shares of a contended service, or that of one
@@ -59,6 +64,10 @@
 	batches      map[uint64]*batch
 	releases     map[uint64]*pendingRelease
 	queries      map[uint64]*stageServer
+	inquiries    map[uint64][]Maker
+	proofs       map[Maker]*proof
+	proven       scope               // in which all processes are proven
+	states       int                 // of stage servers that were created
 	backlogs     map[string]*backlog // by service
 	segments     segmentIndex
 	fairness     fairness
@@ -152,6 +161,8 @@
 		h.batches = map[uint64]*batch{}
 		h.releases = map[uint64]*pendingRelease{}
 		h.queries = map[uint64]*stageServer{}
+		h.inquiries = map[uint64][]Maker{}
+		h.proofs = map[Maker]*proof{}
 	}
 }
 
--- a/core/relay/cache.go
+++ b/core/relay/cache.go
@@ -24,6 +24,7 @@
 	mu            sync.Mutex
 	config        *Configuration
 	servers       map[string]*Server
+	seenSince     map[string]time.Time // of the present process of each server, see age.go
 	takenOut      map[string]bool
 	keptOut       map[string]time.Time // domains that a restored store lacks, and until when they stay taken out
 	former        map[string]formerEntry
@@ -158,6 +159,7 @@
 		return
 	}
 	s.unmark(s.servers[x.ID], x)
+	s.see(s.servers[x.ID], x)
 	s.servers[x.ID] = x
 	delete(s.gone, x.ID)
 }
@@ -209,6 +211,7 @@
 func (s *Cache) remove(id string) {
 	last := s.servers[id]
 	delete(s.servers, id)
+	delete(s.seenSince, id)
 	delete(s.expiring, id)
 	if s.gone == nil {
 		s.gone = map[string]removedServer{}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -170,9 +170,9 @@
 	n.scheduler.meter, n.scheduler.sample = n.meter, n.sampler.sample
 	n.requestRetries = retries{settings: s, slackShare: n.nodeShare}
 	n.taskRetries = retries{settings: s, slackShare: n.coordinatorShare}
-	n.scheduler.onExhausted = n.onExhausted
+	n.scheduler.onExhausted, n.scheduler.inquire, n.scheduler.tellProven = n.onExhausted, n.inquire, n.tellProven
 	n.scheduler.pool, n.scheduler.log, n.scheduler.guard = &n.pool, n.Log, &n.serverGuard
-	n.scheduler.core = placement.Scheduler{Now: time.Now, Shares: s.Shares, View: n.cache.View, Absent: n.cache.Absent, Region: s.Region, CountFirst: n.taskRetries.countFirst, TakeRetry: n.takeTaskRetry}
+	n.scheduler.core = placement.Scheduler{Now: time.Now, Shares: s.Shares, View: n.cache.View, Absent: n.cache.Absent, StartedLately: n.startedLately, Coordinates: n.coordinates, Region: s.Region, CountFirst: n.taskRetries.countFirst, TakeRetry: n.takeTaskRetry}
 	n.rollouts = rollouts{self: n.self, store: &n.store, cache: &n.cache, roster: &n.roster, mesh: n.mesh.Load, tasks: &n.scheduler, meter: n.meter, log: n.Log}
 	n.rollouts.init(s.Rollouts)
 	n.scheduler.core.Rollouts, n.scheduler.onBatch = n.rollouts.placementRollouts(), n.rollouts.observeBatch
@@ -186,6 +186,7 @@
 	}
 	n.tableCache.init()
 	n.schedulerClient = schedulerClient{self: s.Peer, stopping: n.stopping.Load, region: s.Region, roster: &n.roster, mesh: n.mesh.Load, scheduler: &n.scheduler, log: n.Log}
+	n.schedulerClient.readings.Now = time.Now
 }
 
 // Run runs the node until the context ends, and then stops it gracefully.
@@ -316,6 +317,8 @@
 		Exhausted: n.crashes.Excuse,
 		Culprits:  n.onCulprits,
 		Trial:     n.crashes.GrantTrial,
+		ReadFor:   n.readFor,
+		Proven:    n.onProven,
 		Tables:    n.tableFollower.serve,
 		Rollout:   n.rollouts.onReport,
 	}.Register(m)
--- a/io/edge/scheduler.go
+++ b/io/edge/scheduler.go
@@ -46,6 +46,9 @@
 	memory *memory.Account
 	// onExhausted is called with a model server that crashed for want of memory.
 	onExhausted func(server string)
+	// inquire asks all nodes, tellProven tells them what was found.
+	inquire    func(placement.Inquiry)
+	tellProven func([]placement.Maker)
 	// onBatch, if set, is called at the end of each batch.
 	onBatch func(c *placement.Batch, start time.Time, took time.Duration, outcome placement.BatchStatus, l []placement.TaskResult)
 	work    sync.WaitGroup // I/O in progress
@@ -106,6 +109,12 @@
 	for i := range w.Queries {
 		h.work.Go(func() { h.query(&w.Queries[i]) })
 	}
+	for _, k := range w.Inquiries {
+		h.work.Go(func() { h.inquire(k) })
+	}
+	if len(w.Proven) > 0 {
+		h.work.Go(func() { h.tellProven(w.Proven) })
+	}
 }
 
 // logDecision logs and counts a decision.
--- a/io/edge/schedulerclient.go
+++ b/io/edge/schedulerclient.go
@@ -36,6 +36,7 @@
 	mesh      func() *peer.Mesh // nil until the key of the fleet is known
 	scheduler *scheduler
 	log       *zap.Logger
+	readings  placement.Readings // what granted requests read
 
 	mu            sync.Mutex
 	coordinatorOf map[placement.Key]string // peer address by request in progress
@@ -169,6 +170,9 @@
 		if l := progress.Load(); r.err != nil && l != nil {
 			r.decision.Progress = *l
 		}
+		if r.err == nil && r.decision.Granted() {
+			r.decision.Outdated = !p.readings.Begin(a.Key, a.Attempt, r.decision.Makers, time.Now().Add(a.Remaining))
+		}
 		return r.decision, r.err
 	case <-ctx.Done():
 		p.report(placement.Report{Key: a.Key, Attempt: a.Attempt, Status: placement.RunAbandoned})
@@ -182,6 +186,9 @@
 	p.mu.Lock()
 	coordinator := p.coordinatorOf[r.Key]
 	p.mu.Unlock()
+	if r.Status != placement.RunConnectionLost && r.Status != placement.RunAbandoned {
+		p.readings.End(r.Key, r.Attempt)
+	}
 	switch r.Status {
 	case placement.RunStarted, placement.RunRejected, placement.RunNotSent:
 	default:
--- a/io/peer/frame_test.go
+++ b/io/peer/frame_test.go
@@ -21,7 +21,7 @@
 		&wire.ConfigFetch{}, &wire.Config{}, &wire.LinkAsk{}, &wire.LinkGrant{}, &wire.ClaimAsk{},
 		&wire.ClaimVerdict{}, &wire.ClaimEnd{},
 		&wire.StateQuery{}, &wire.State{}, &wire.Names{},
-		&wire.PlaceAsk{}, &wire.PlaceAnswer{}, &wire.PlaceNote{}, &wire.MirrorAsk{}, &wire.Mirror{}, &wire.Crash{}, &wire.PlaceProgress{}, &wire.CrashCulprits{}, &wire.CrashTrial{}, &wire.PlaceSegments{}, &wire.RolloutReport{}, &wire.RolloutReply{},
+		&wire.PlaceAsk{}, &wire.PlaceAnswer{}, &wire.PlaceNote{}, &wire.MirrorAsk{}, &wire.Mirror{}, &wire.Crash{}, &wire.PlaceProgress{}, &wire.CrashCulprits{}, &wire.CrashTrial{}, &wire.PlaceSegments{}, &wire.RolloutReport{}, &wire.RolloutReply{}, &wire.PlaceInquiry{}, &wire.PlaceReadings{},
 	}
 }
 
--- a/io/peer/mesh.go
+++ b/io/peer/mesh.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -73,6 +74,7 @@
 	lastInstance     lease.Instance // that accepted the last link
 	backoff          time.Duration
 	noDialBefore     time.Time // zero: dial at any time
+	dialError        error     // of the last dial, while noDialBefore is set
 	redialsRemaining int       // dials still to be made since the last link closed
 }
 
@@ -196,7 +198,7 @@
 	}
 	p := m.peer(address)
 	if time.Now().Before(p.noDialBefore) {
-		return nil, ErrBackoff
+		return nil, fmt.Errorf("%w: %w", ErrBackoff, p.dialError)
 	}
 	return m.open(address), nil
 }
@@ -301,7 +303,7 @@
 	m.mu.Lock()
 	p := m.peer(l.address)
 	p.backoff = min(max(2*p.backoff, minBackoff), maxBackoff)
-	p.noDialBefore = time.Now().Add(p.backoff)
+	p.noDialBefore, p.dialError = time.Now().Add(p.backoff), err
 	h := p.lastInstance
 	m.mu.Unlock()
 	m.remove(l, err)
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -52,6 +52,8 @@
 	TypePlaceSegments
 	TypeRolloutReport
 	TypeRolloutReply
+	TypePlaceInquiry
+	TypePlaceReadings
 
 	typeEnd // one more than the last type
 )
--- a/io/peer/placement.go
+++ b/io/peer/placement.go
@@ -4,6 +4,7 @@
 // and reports of crashes. tables.go has those about the tables of the platform's store.
 
 import (
+	"context"
 	"time"
 
 	"bergamotspring/core/load"
@@ -16,7 +17,7 @@
 
 // PlacementProtocol is the version of the messages of PlacementHandlers. Nodes state it when they
 // register, and exchange these messages only with nodes of the same version.
-const PlacementProtocol = 6
+const PlacementProtocol = 7
 
 // PlacementHandlers handles the messages of other nodes on the users' platform. All fields
 // must be set.
@@ -40,6 +41,10 @@
 	// Trial grants a trial of a request that is refused for what crashes servers, or returns
 	// how long to ask no more.
 	Trial func(r suspect.Request) (wait time.Duration)
+	// ReadFor returns for how long results of earlier processes may be read in the place of one.
+	ReadFor func(placement.Maker) time.Duration
+	// Proven handles that another coordinator has found that no results of processes before some are read any more.
+	Proven func([]placement.Maker)
 	// Tables responds to a query for tables of the store. Respond may be called later, from
 	// any goroutine.
 	Tables func(q TablesQuery, respond func(Tables))
@@ -77,6 +82,13 @@
 	handle(m, TypeCrashTrial, true, func(r *Request, b wire.CrashRequest) {
 		reply(r, TypeCrashTrial, wireTrial(h.Trial(suspectOf(b))))
 	})
+	handle(m, TypePlaceInquiry, true, func(r *Request, b wire.PlaceInquiry) {
+		if b.Proven {
+			h.Proven(each(b.Makers, makerOf))
+			return
+		}
+		reply(r, TypePlaceReadings, &wire.PlaceReadings{Left: each(b.Makers, func(w wire.PlaceMaker) int { return micros(h.ReadFor(makerOf(w)) + time.Microsecond - 1) })})
+	})
 	h.registerRollouts(m)
 	handle(m, TypeMirrorAsk, true, func(r *Request, b wire.MirrorAsk) {
 		h.Tables(tablesQueryOf(b, time.Now()), func(t Tables) { reply(r, TypeMirror, wireTables(t, time.Now())) })
@@ -200,10 +212,33 @@
 	return &wire.PlaceAnswer{
 		Id: a.ID, Server: s.ID, Address: s.Address, Domain: s.Domain, Region: s.Region, Service: s.Service,
 		Inputs: a.Inputs, Fetch: a.KVSource, Reason: a.Reason, RetryAfter: micros(a.RetryAfter), Made: each(a.Progress, wireStageProgress),
-		InBatches: each(a.InBatches, wireServerBytes), Version: s.Version,
+		InBatches: each(a.InBatches, wireServerBytes), Version: s.Version, Makers: each(a.Makers, wireMaker),
 	}
 }
 
+// Inquire asks the node at an address for how long results of earlier processes may be read in the places of some.
+func (m *Mesh) Inquire(ctx context.Context, to string, l []placement.Maker) ([]time.Duration, error) {
+	var w wire.PlaceReadings
+	if err := m.Call(ctx, to, TypePlaceInquiry, &wire.PlaceInquiry{Makers: each(l, wireMaker)}, TypePlaceReadings, &w); err != nil {
+		return nil, err
+	}
+	return each(w.Left, duration), nil
+}
+
+// SendProven tells the node at an address that no results of processes before some are read any more; it may be lost without
+// an error.
+func (m *Mesh) SendProven(to string, l []placement.Maker) error {
+	return m.Send(to, TypePlaceInquiry, &wire.PlaceInquiry{Makers: each(l, wireMaker), Proven: true})
+}
+
+func wireMaker(p placement.Maker) wire.PlaceMaker {
+	return wire.PlaceMaker{Address: p.Address, Server: p.ID, Started: int(p.StartedAt)}
+}
+
+func makerOf(w wire.PlaceMaker) placement.Maker {
+	return placement.Maker{Address: w.Address, Process: relay.Process{ID: w.Server, StartedAt: int64(w.Started)}}
+}
+
 func keyOf(id string, nonce int) placement.Key { return placement.Key{ID: id, Nonce: uint64(nonce)} }
 
 func wireServerBytes(b placement.ServerBytes) wire.PlaceServerBytes {
@@ -231,6 +266,6 @@
 		Key:    placement.Key{ID: w.Id},
 		Server: relay.Server{ID: w.Server, Address: w.Address, Domain: w.Domain, Region: w.Region, Service: w.Service, Version: w.Version},
 		Inputs: w.Inputs, KVSource: w.Fetch, Reason: w.Reason, RetryAfter: duration(w.RetryAfter), Progress: each(w.Made, stageProgressOf),
-		InBatches: each(w.InBatches, serverBytesOf),
+		InBatches: each(w.InBatches, serverBytesOf), Makers: each(w.Makers, makerOf),
 	}
 }
--- a/io/peer/placement_test.go
+++ b/io/peer/placement_test.go
@@ -27,6 +27,7 @@
 	g := placement.Decision{
 		Key: placement.Key{ID: "r"}, Attempt: 2, Server: relay.Server{ID: "s", Address: "a:1", Domain: "d", Region: "x", Service: "model"},
 		Inputs: []string{"h"}, KVSource: "b:1", Reason: "why", RetryAfter: time.Second, Progress: a.Progress,
+		Makers: []placement.Maker{{Address: "c:1", Process: relay.Process{ID: "s", StartedAt: 1796665710035}}},
 	}
 	var wg wire.PlaceAnswer
 	throughFrame(t, TypePlaceAnswer, wirePlacementDecision(g), &wg)
--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -50,6 +50,12 @@
 			a.Retry, a.InputLost = true, false
 			continue
 		}
+		if g.Outdated {
+			q.log("inputs_outdated", zap.String("server", g.Server.ID))
+			q.report(&g, placement.RunRejected)
+			a.Retry, a.InputLost = true, true
+			continue
+		}
 		e := q.run(ctx, out, &g, q.route.Resumable && runs+1 < q.route.Attempts)
 		if e == runDone {
 			return
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -562,6 +562,9 @@
 	// Progress of a request that moves to the next region coordinator.
 	Made []PlaceMade `msgpack:"made"`
 
+	// Processes that made the inputs.
+	Makers []PlaceMaker `msgpack:"makers"`
+
 	// Reason corresponds to the JSON schema field "reason".
 	Reason string `msgpack:"reason"`
 
@@ -677,6 +680,16 @@
 	Server string `msgpack:"server"`
 }
 
+// Asks for how long results of earlier processes may be read in the places of
+// some, or says that all nodes have answered that none are.
+type PlaceInquiry struct {
+	// Makers corresponds to the JSON schema field "makers".
+	Makers []PlaceMaker `msgpack:"makers"`
+
+	// It is no question.
+	Proven bool `msgpack:"proven"`
+}
+
 // Progress of one stage of a request under a region coordinator that stopped.
 type PlaceMade struct {
 	// Pieces corresponds to the JSON schema field "pieces".
@@ -704,6 +717,18 @@
 	Started int `msgpack:"started"`
 }
 
+// A process of a stage server.
+type PlaceMaker struct {
+	// IP:port.
+	Address string `msgpack:"address"`
+
+	// Server corresponds to the JSON schema field "server".
+	Server string `msgpack:"server"`
+
+	// Unix milliseconds of its start, 0: unknown.
+	Started int `msgpack:"started"`
+}
+
 // Reports the progress of a granted request to the region coordinator, or
 // withdraws a placement request.
 type PlaceNote struct {
@@ -746,6 +771,12 @@
 	Made []PlaceMade `msgpack:"made"`
 }
 
+// Responds to a PlaceInquiry.
+type PlaceReadings struct {
+	// For each process, microseconds; 0: nothing is read.
+	Left []int `msgpack:"left"`
+}
+
 // Tells the coordinator of another region which prompt segments servers have read.
 type PlaceSegments struct {
 	// Copies corresponds to the JSON schema field "copies".
