--- a/io/exchange/body.go
+++ b/io/exchange/body.go
@@ -5,6 +5,15 @@
 import (
 	"context"
 	"io"
+	"time"
+)
+
+const (
+	// joinWait is how long the end of a body that ends inside the head of a response is delayed. A sound body hardly ever
+	// ends so.
+	joinWait = 200 * time.Millisecond
+	// maxJoined is how much of what follows such a body is looked at, in bytes.
+	maxJoined = readBuffer / 2
 )
 
 // body is a response body that returns the connection to the pool at its end.
@@ -36,7 +45,7 @@
 	if err == io.EOF && !b.framed && b.request.failed() {
 		err = errReset
 	}
-	if b.scan.found(p[:n]) || err == io.EOF && b.scan.joins(b.conn.buffered()) {
+	if b.scan.found(p[:n]) || err == io.EOF && b.joins() {
 		n, err = 0, errJoinedBody
 	}
 	if err == nil {
@@ -50,6 +59,28 @@
 	return n, &BrokenError{Cause: err}
 }
 
+// joins reports whether the body has gone over into another response whose head goes on after the end of the body. If it
+// ends inside a head, the rest of that may come for joinWait.
+func (b *body) joins() bool {
+	if b.scan.joins(b.conn.buffered()) {
+		return true
+	}
+	if !b.scan.endsInHead() {
+		return false
+	}
+	_ = b.conn.SetReadDeadline(time.Now().Add(joinWait)) // a closed connection fails in the reads too
+	defer func() { _ = b.conn.SetReadDeadline(time.Time{}) }()
+	for n := b.conn.in.Buffered(); n < maxJoined; n = b.conn.in.Buffered() {
+		if _, err := b.conn.in.Peek(n + 1); err != nil {
+			return false
+		}
+		if b.scan.joins(b.conn.buffered()) {
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends the exchange. If the body was not read to its end, the connection is closed
 // too.
 func (b *body) Close() error {
--- a/io/exchange/joined.go
+++ b/io/exchange/joined.go
@@ -70,6 +70,12 @@
 // joins reports whether the body has gone over into another response whose head goes on after the end of the body,
 // with rest. A response that begins after the end is one of its own.
 func (s *bodyScan) joins(rest []byte) bool {
+	x := *s // more of the rest may come
+	x.line = slices.Clone(s.line)
+	return x.join(rest)
+}
+
+func (s *bodyScan) join(rest []byte) bool {
 	if !s.inHead {
 		line, _, _ := bytes.Cut(rest, []byte("\n"))
 		at := statusLine.FindIndex(slices.Concat(s.line, line))
@@ -79,3 +85,11 @@
 	}
 	return s.found(rest)
 }
+
+// headStart is how much of a status line at the end of a body counts as the start of a head.
+const headStart = "HTTP/1."
+
+// endsInHead reports whether the body, as far as it was read, ends inside a head or its first line.
+func (s *bodyScan) endsInHead() bool {
+	return s.echo != "" && (s.inHead || bytes.Contains(s.line, []byte(headStart)))
+}
--- a/io/exchange/joined_test.go
+++ b/io/exchange/joined_test.go
@@ -11,6 +11,9 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
+
+	"bergamotspring/io/standin"
 )
 
 // A server stops inside the head of a late copy of an earlier response, or of the response that is due, and goes
@@ -153,3 +156,43 @@
 		})
 	}
 }
+
+// Guards against a truncated body that is filled up by the start of another response whose rest comes later: it counts as
+// broken off. A body that ends like that by itself is delivered, a little later, and others without delay.
+func TestResponseBeginsAtEndOfBody(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nId: old\r\nContent-Length: 4\r\n\r\nbody"
+	due := func(length int, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: due\r\nContent-Length: %d\r\n\r\n%s", length, body)
+	}
+	for _, c := range []struct {
+		name, body, rest string
+		after            time.Duration // until the rest is sent
+		broken           bool
+		took             time.Duration
+	}{
+		{"in the status line", "half" + other[:8], other[8:], 20 * time.Millisecond, true, 20 * time.Millisecond},
+		{"after the status line", "half" + other[:17], other[17:], 20 * time.Millisecond, true, 20 * time.Millisecond},
+		{"in a field", "half" + other[:40], other[40:], 20 * time.Millisecond, true, 20 * time.Millisecond},
+		{"in a field, the rest in two parts", "half" + other[:40], other[40:42], 20 * time.Millisecond, false, joinWait},
+		{"in a field, and nothing follows", "half" + other[:40], "", 0, false, joinWait},
+		{"in a field, and the connection ends", "half" + other[:40], cut, 20 * time.Millisecond, false, 20 * time.Millisecond},
+		{"in the head of no request of the connection", "half" + other[:40], strings.ReplaceAll(other[40:], "old", "any"), 20 * time.Millisecond, false, joinWait},
+		{"a whole body", "whole body", other, 20 * time.Millisecond, false, 0},
+		{"a whole head in the body", "about " + strings.ReplaceAll(other, "old", "any"), "", 0, false, 0},
+		{"a name of the protocol", "HTTP", "", 0, false, 0},
+	} {
+		run(t, func(s *script) {
+			s.responses <- okResponse("old", "")
+			if _, _, err := s.do(context.Background(), "old"); err != nil {
+				t.Error(err)
+			}
+			s.responses <- standin.Later(due(len(c.body), c.body), c.after, c.rest)
+			start := time.Now()
+			status, b, err := s.do(context.Background(), "due")
+			if (err != nil) != c.broken || !c.broken && (status != 200 || b != c.body) || time.Since(start) != c.took {
+				t.Errorf("%s: got %d %q %v after %v, want broken: %v after %v", c.name, status, b, err, time.Since(start), c.broken, c.took)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/io/standin/script.go
+++ b/io/standin/script.go
@@ -9,11 +9,23 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // Cut at the end of a response of a Script is not sent, but closes the connection.
 const Cut = "(cut)"
 
+// later separates the parts of a response that Later returns.
+const later = "(later)"
+
+// Later returns a response of a Script whose rest is sent some time after its start.
+func Later(start string, after time.Duration, rest string) string {
+	if rest == "" {
+		return start
+	}
+	return start + later + after.String() + later + rest
+}
+
 // Script is a server that answers the next request on any of its connections with the next of its
 // responses, sent as it is. It closes the connection after one that is empty or says that it does. The
 // fields must be set before Serve, and Responses closed after the last request.
@@ -45,7 +57,15 @@
 		if !s.Answers(r) {
 			return
 		}
-		x, end := strings.CutSuffix(<-s.Responses, Cut)
+		x, rest, _ := strings.Cut(<-s.Responses, later)
+		if rest != "" {
+			after, part, _ := strings.Cut(rest, later)
+			d, _ := time.ParseDuration(after)
+			_, _ = io.WriteString(c, x) // an error shows in the next write
+			time.Sleep(d)
+			x = part
+		}
+		x, end := strings.CutSuffix(x, Cut)
 		if _, err := io.WriteString(c, x); err != nil || end || x == "" || strings.Contains(x, "Connection: close") {
 			return
 		}
