io/edge: a node that reads nothing of the processes before is not asked again

While some node is silent, an inquiry is repeated each 250 ms for 3 s. On the largest site (295 nodes, 160 stage servers) each round would carry about 10 KB to each node, by calculation; a node's answer that nothing is read holds for good, so only the others are asked again.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -86,6 +86,7 @@
 	registering     atomic.Bool   // by registerAgain
 	drain           drain
 	requestRetries  retries // of requests that this node sends to backend servers
+	nothingRead     nothingRead
 	crashes         suspect.Counter
 	broken          brokenRequests
 	serverGuard     serverGuard
