--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -382,3 +382,17 @@
 		})
 	}
 }
+
+// Guards against a caller without any time left whose request gets that of a caller who states none.
+func TestNoTimeLeft(t *testing.T) {
+	runFleet(t, func(w *testFleet) {
+		for i, r := range []response{
+			w.request("a1", http.MethodPost, "/file/x", "none0", "X-Bergamotspring-Deadline-Ms", "0"),
+			w.stream("a1", "/once/x", "none1", "X-Bergamotspring-Deadline-Ms", "0"),
+		} {
+			if id := fmt.Sprint("none", i); r.status != 503 || r.took > 100*time.Millisecond || w.runCount(id) > 0 {
+				t.Errorf("%s: got %d after %v and %d runs, want a refusal at once", id, r.status, r.took, w.runCount(id))
+			}
+		}
+	})
+}
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -82,10 +82,10 @@
 	}
 	q.service, q.version = q.route.Pick(q.meta.ID), v.Config.Version
 	d := q.route.Timeout
-	if q.meta.Bounded && (d <= 0 || q.meta.Remaining < d) {
-		d = q.meta.Remaining
-	}
-	if d <= 0 {
+	switch {
+	case q.meta.Bounded && (d <= 0 || q.meta.Remaining < d):
+		d = q.meta.Remaining // may be 0
+	case d <= 0:
 		d = defaultTimeout
 	}
 	q.deadline = q.arrived.Add(d - responseMargin)
