--- a/io/edge/schedulerclient.go
+++ b/io/edge/schedulerclient.go
@@ -199,7 +199,11 @@
 	case p.self:
 		p.scheduler.report(r)
 	default:
-		if err := p.mesh().SendReport(coordinator, r); err != nil {
+		var err error = peer.ErrNoKey
+		if m := p.mesh(); m != nil {
+			err = m.SendReport(coordinator, r)
+		}
+		if err != nil {
 			// The coordinator forgets the request some time after its deadline.
 			p.log.Warn("note_lost", zap.String("request", r.ID), zap.String("home", coordinator), zap.Error(err))
 		}
