--- a/io/proxy/generate.go
+++ b/io/proxy/generate.go
@@ -88,6 +88,9 @@
 // it has ended the request.
 func (q *request) placed(ctx context.Context, g *placement.Decision, err error) bool {
 	if ctx.Err() != nil {
+		if g.Granted() {
+			q.report(g, placement.RunAbandoned)
+		}
 		q.contextEnded(ctx)
 		return false
 	}
