--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -154,7 +154,7 @@
 	if n.Listen == nil {
 		n.Listen = net.Listen
 	}
-	n.store.Address, n.store.Dial = s.Store, n.Dial
+	n.store.Address, n.store.RowBytes, n.store.Dial = s.Store, s.RowBytes, n.Dial
 	n.pool.MaxConnections, n.pool.OnForeign = n.maxConnections, n.logForeign
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.cache.Now, n.roster.Now = time.Now, time.Now
