--- a/io/proxy/generate_test.go
+++ b/io/proxy/generate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -23,7 +24,7 @@
 		q := &request{server: s, route: &relay.Route{}, deadline: time.Now().Add(time.Hour)}
 		func() {
 			defer func() {
-				if e := recover(); e != http.ErrAbortHandler {
+				if e, _ := recover().(error); !errors.Is(e, http.ErrAbortHandler) {
 					t.Errorf("got panic %v, want the end of the connection", e)
 				}
 			}()
