--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -66,8 +66,8 @@
 	queries      map[uint64]*stageServer
 	inquiries    map[uint64][]Maker
 	proofs       map[Maker]*proof
-	proven       scope               // in which all processes are proven
-	states       int                 // of stage servers that were created
+	proven       scope               // in which no process needs a proof
+	states       int                 // number of stageServers that were created
 	backlogs     map[string]*backlog // by service
 	segments     segmentIndex
 	fairness     fairness
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -173,7 +173,11 @@
 	n.taskRetries = retries{settings: s, slackShare: n.coordinatorShare}
 	n.scheduler.onExhausted, n.scheduler.inquire, n.scheduler.tellProven = n.onExhausted, n.inquire, n.tellProven
 	n.scheduler.pool, n.scheduler.log, n.scheduler.guard = &n.pool, n.Log, &n.serverGuard
-	n.scheduler.core = placement.Scheduler{Now: time.Now, Shares: s.Shares, View: n.cache.View, Absent: n.cache.Absent, StartedLately: n.startedLately, Coordinates: n.coordinates, Region: s.Region, CountFirst: n.taskRetries.countFirst, TakeRetry: n.takeTaskRetry}
+	n.scheduler.core = placement.Scheduler{
+		Now: time.Now, View: n.cache.View, Region: s.Region, Shares: s.Shares,
+		Absent: n.cache.Absent, StartedLately: n.startedLately, Coordinates: n.coordinates,
+		CountFirst: n.taskRetries.countFirst, TakeRetry: n.takeTaskRetry,
+	}
 	n.rollouts = rollouts{self: n.self, store: &n.store, cache: &n.cache, roster: &n.roster, mesh: n.mesh.Load, tasks: &n.scheduler, meter: n.meter, log: n.Log}
 	n.rollouts.init(s.Rollouts)
 	n.scheduler.core.Rollouts, n.scheduler.onBatch = n.rollouts.placementRollouts(), n.rollouts.observeBatch
@@ -296,7 +300,10 @@
 	if !ok {
 		return
 	}
-	record := crashRecord{store: &n.store, crashes: &n.crashes, rank: func() int { return n.roster.Before(n.self.Peer) }, log: n.Log, era: n.store.Era()}
+	record := crashRecord{
+		store: &n.store, crashes: &n.crashes, log: n.Log, era: n.store.Era(),
+		rank: func() int { return n.roster.Before(n.self.Peer) },
+	}
 	record.restore(fleet.Crashes)
 	recorded := make(chan struct{})
 	go func() {
