--- a/io/edge/endlessprogram_test.go
+++ b/io/edge/endlessprogram_test.go
@@ -34,7 +34,7 @@
 
 // TestEndlessServersOfProgram plays TestEndlessServers with the program itself, on loopback addresses: its resident
 // memory stays below that of the smallest VM, it does not end, and requests to other servers are served. It is started by hand, as it
-// takes minutes and depends on the machine:
+// takes minutes and depends on the host:
 //
 //	go test ./io/edge -run TestEndlessServersOfProgram -endless_program target/bergamotspring -v
 func TestEndlessServersOfProgram(t *testing.T) {
--- a/io/peer/placement_test.go
+++ b/io/peer/placement_test.go
@@ -78,3 +78,24 @@
 		t.Fatal(err)
 	}
 }
+
+// An inquiry about many processes takes few bytes for each.
+func TestInquiryBytes(t *testing.T) {
+	const bound = 64 // bytes a process, both directions
+	for _, n := range []int{1, 15, 160} {
+		q := wire.PlaceInquiry{Makers: make([]wire.PlaceMaker, n)}
+		a := wire.PlaceReadings{Left: make([]int, n)}
+		for i := range n {
+			q.Makers[i] = wireMaker(placement.Maker{Address: "10.100.100.100:8080", Process: relay.Process{ID: "i-0123456789", StartedAt: 1796665710035}})
+		}
+		out, err := encode(TypePlaceInquiry, 1<<20, &q)
+		in, e := encode(TypePlaceReadings, 1<<20, &a)
+		if err != nil || e != nil {
+			t.Fatal(err, e)
+		}
+		t.Logf("%d processes: %d B out, %d B in", n, out.Len(), in.Len())
+		if got := out.Len() + in.Len(); got > bound*(n+1) {
+			t.Errorf("%d processes: %d bytes, want %d a process at most", n, got, bound)
+		}
+	}
+}
