io/proxy: a long event does not cost the square of its length

Callers of a node would have seen slow answers while one server sends lines that end no event: a node looked at all of the event, 1 MiB at most, again with each 4 KiB that it read.

Change: what was looked at is not looked at again (wholeEventsFrom).

TestWholeEventsFrom: the same events as before in 45,000 random parts of streams.

--- a/io/proxy/events.go
+++ b/io/proxy/events.go
@@ -36,8 +36,19 @@
 // wholeEvents returns the length of the complete events at the start of b. An event ends with an empty
 // line.
 func wholeEvents(b []byte) int {
-	whole := 0
-	for n, last := 0, byte(0); n < len(b); last = b[n-1] {
+	whole, _ := wholeEventsFrom(b, 0)
+	return whole
+}
+
+// wholeEventsFrom is wholeEvents for bytes whose lines before from are known to end no event. Once more bytes were added
+// to b, it need not look at those before next again.
+func wholeEventsFrom(b []byte, from int) (whole, next int) {
+	last := byte(0)
+	if from > 0 {
+		last = b[from-1]
+	}
+	next = from
+	for n := from; n < len(b); last = b[n-1] {
 		line, k := cutLine(b[n:])
 		if k == 0 || last == '\n' && string(b[n:]) == "\r" {
 			break // the LF of an empty line may be still to come
@@ -45,8 +56,11 @@
 		if n += k; len(line) == 0 {
 			whole = n
 		}
+		if n < len(b) || b[n-1] != '\r' {
+			next = n
+		} // the LF of a line may be still to come too
 	}
-	return whole
+	return whole, next
 }
 
 // hasField reports whether one of the events in b has a field. Comments, which a server may send
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -42,6 +42,7 @@
 	joined     bool // the next event is the first of a server that goes on after another one
 	firstEvent time.Time
 	buffer     []byte
+	scanned    int         // bytes of the buffer that end no event, see wholeEventsFrom
 	stallTimer *time.Timer // cancels a stalled attempt; nil if it cannot be resumed elsewhere
 	stallAt    time.Time   // when it does
 }
@@ -66,7 +67,7 @@
 	d.holder.SetSource(r.Unread)
 	defer d.holder.SetSource(nil)
 	d.behind = 0
-	s.buffer = s.buffer[:0]
+	s.buffer, s.scanned = s.buffer[:0], 0
 	s.joined = s.started
 	n := 0
 	p := make([]byte, streamBuffer)
@@ -75,7 +76,9 @@
 	for {
 		k, err := d.read(r.Body, p)
 		s.keep(append(s.buffer, p[:k]...))
-		if whole := wholeEvents(s.buffer); whole > 0 {
+		whole, next := wholeEventsFrom(s.buffer, s.scanned)
+		s.scanned = max(0, next-whole)
+		if whole > 0 {
 			end, wrong := s.follow(s.buffer[:whole])
 			if hasField(s.buffer[:end]) {
 				n++
--- a/io/proxy/stream_test.go
+++ b/io/proxy/stream_test.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "testing"
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
 
 // Only whole events are forwarded, whatever their line ends, and comments are no progress.
 func TestWholeEvents(t *testing.T) {
@@ -61,3 +65,27 @@
 		}
 	}
 }
+
+// Guards against a long event that costs the square of its length: what was looked at is not looked at again, and the
+// events are the same.
+func TestWholeEventsFrom(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 3000 {
+		var b []byte
+		scanned := 0
+		for range 15 {
+			for range r.IntN(4) {
+				b = append(b, "\r\nd:"[r.IntN(4)])
+			}
+			whole, next := wholeEventsFrom(b, scanned)
+			if want := wholeEvents(b); whole != want {
+				t.Fatalf("%q from %d: got %d, want %d", b, scanned, whole, want)
+			}
+			b, scanned = b[whole:], max(0, next-whole)
+		}
+	}
+	long := []byte(strings.Repeat("data: x\n", 1000))
+	if _, next := wholeEventsFrom(long, 0); next != len(long) {
+		t.Errorf("%d of %d bytes need not be looked at again", next, len(long))
+	}
+}
