--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -98,6 +98,7 @@
 	for _, n := range f.nodes {
 		n.kill()
 	}
+	f.saveLogs()
 	for _, c := range f.closed {
 		_ = c.Close()
 	}
