--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -238,11 +238,16 @@
 	}
 }
 
-// putServer writes the entry of a server as that does itself.
+// putServer writes the entry of a server that has just started, as that does itself.
 func (f *fleet) putServer(id, service, address, zone string, slots int) {
+	f.putServerAs(id, service, address, zone, slots, time.Now())
+}
+
+// putServerAs writes the entry of a process of a server.
+func (f *fleet) putServerAs(id, service, address, zone string, slots int, born time.Time) {
 	f.store.Put("servers", id, map[string]any{
 		"service": service, "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
-		"cold-left-ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		"cold-left-ms": 0, "sequence": 1, "born": born.UnixMilli(),
 	})
 }
 
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -22,8 +22,9 @@
 type scenario func(f *fleet, trouble bool) (broken int, err error)
 
 var scenarios = map[string]scenario{
-	"chunks": runChunks,
-	"stop":   runStop,
+	"chunks":  runChunks,
+	"handles": runHandles,
+	"stop":    runStop,
 }
 
 func main() {
