--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -23,6 +23,7 @@
 
 var scenarios = map[string]scenario{
 	"chunks":  runChunks,
+	"dark":    runDark,
 	"handles": runHandles,
 	"stop":    runStop,
 }
