--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -25,6 +25,7 @@
 	"chunks":  runChunks,
 	"dark":    runDark,
 	"handles": runHandles,
+	"order":   runOrder,
 	"stop":    runStop,
 }
 
