Review case 11: keep to the dose of the site

The claim quoted a share of another site and the x of another variant (unframed). Now one answer in 50 (x 0.02) of one worker of three is spoilt.

--- a/review/rig-3/chunks.go
+++ b/review/rig-3/chunks.go
@@ -15,7 +15,7 @@
 const (
 	chunkedBody   = 4800 // bytes, the largest response of the plain kinds in the site file
 	chunkSize     = 4096 // bytes, the buffer in which the server writes its response
-	spoilInterval = 20   // one response in so many is spoilt by the faulty server
+	spoilInterval = 50   // one response in so many is spoilt by the faulty server
 	chunkRequests = 600
 	chunkCallers  = 6
 )
