Review case 12: keep to the doses of the site

The freeze was 5 s (site file: 4), and the stage worker was the only one (site file: share 0.3). Now 4 s, and one of five. With the workers in all zones that held, as the next coordinator begins 4 s after the freeze; with the workers in one region, whose coordinator takes the silent node for gone 3 s after the restart, it is broken.

--- a/review/rig-3/handles.go
+++ b/review/rig-3/handles.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,7 +17,7 @@
 )
 
 const (
-	freezeTime   = 5 * time.Second        // of the coordinator
+	freezeTime   = 4 * time.Second        // of the coordinator of a region
 	workerDown   = 300 * time.Millisecond // of the stage server
 	resultTime   = 4 * time.Second        // handle-s
 	batchTime    = 200 * time.Millisecond // call-ms
@@ -24,9 +25,13 @@
 	modelSlots   = 96
 	busyEvents   = 31 // of the streams that keep the model servers busy
 	readerEvents = 5
+	readerPieces = 20
 	eventPause   = 250 * time.Millisecond
 )
 
+// stageZones are the zones of the stage servers: all are in one region, so the coordinators of both use them.
+var stageZones = []string{"pampa-norte", "pampa-norte", "pampa-norte", "pampa-sur", "pampa-sur"}
+
 // results are the stored results of all stage servers, by handle.
 type results struct {
 	mu     sync.Mutex
@@ -55,6 +60,20 @@
 	return r.owners[handle]
 }
 
+// maker returns the server that stores the result of a request, or nil.
+func (r *results) maker(l []*stageServer, id string) *stageServer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for h, o := range r.owners {
+		for _, s := range l {
+			if o == id && strings.HasPrefix(h, s.address+"/") {
+				return s
+			}
+		}
+	}
+	return nil
+}
+
 // freeAll drops the results of a server whose process has ended.
 func (r *results) freeAll(address string) {
 	r.mu.Lock()
@@ -70,6 +89,7 @@
 type stageServer struct {
 	fleet   *fleet
 	id      string
+	zone    string
 	address string
 	results *results
 
@@ -91,7 +111,7 @@
 	s.address, s.last, s.born, s.http = l.Addr().String(), 0, time.Now(), h
 	s.mu.Unlock()
 	go func() { _ = h.Serve(l) }()
-	s.fleet.putServerAs(s.id, "kafi81c", s.address, "pampa-norte", 1, s.born)
+	s.fleet.putServerAs(s.id, "kafi81c", s.address, s.zone, 1, s.born)
 	s.fleet.printf("stage server %s starts", s.id)
 	return nil
 }
@@ -167,6 +187,7 @@
 		return
 	}
 	for _, h := range q.Handles {
+		s.fleet.printf("stage server %s is told to free %s", s.id, h)
 		s.results.free(h, "")
 	}
 }
@@ -268,30 +289,34 @@
 // reader sends requests with a stage until the end, and counts the answers.
 func (f *fleet) reader(n *node, first int, interval time.Duration, end time.Time, w *sync.WaitGroup) {
 	for k := first; time.Now().Before(end); k++ {
-		w.Go(func() { f.readResult(n, k) })
+		w.Go(func() { f.readResult(n, k, readerPieces) })
 		time.Sleep(interval)
 	}
 }
 
 // readResult sends a request with a stage to a node.
-func (f *fleet) readResult(n *node, k int) {
+func (f *fleet) readResult(n *node, k, pieces int) {
 	q := request{method: http.MethodPost, host: "jepu9.example", path: "/cufi501/fi50/2f", id: requestID(k), timeout: streamTimeout, body: "case file", header: map[string]string{
-		"X-Bergamotspring-Model": "m", "X-Bergamotspring-Token-Usage": "1460,80", "X-Bergamotspring-Chunks": "1", "X-Bergamotspring-Chunk-Key": fmt.Sprintf("k%x", k),
+		"X-Bergamotspring-Model": "m", "X-Bergamotspring-Token-Usage": "1460,80", "X-Bergamotspring-Chunks": strconv.Itoa(pieces), "X-Bergamotspring-Chunk-Key": fmt.Sprintf("k%x", k),
 	}}
 	f.printf("caller of %s sends %s", n.name, q.id)
 	a := call(n.callers, q)
 	f.printf("caller of %s got for %s: status %d, %d bytes, error %v, after %.3f s", n.name, q.id, a.status, len(a.body), a.err, a.endedAt.Sub(a.sentAt).Seconds())
 }
 
-// runHandles freezes the coordinator while one of its own requests waits at a model server, and restarts the stage server
-// that holds the input of that request.
+// runHandles restarts the stage server that holds the input of a request which waits at a model server, and freezes the
+// coordinator that has placed this request: that of a region without stage servers.
 func runHandles(f *fleet, trouble bool) (int, error) {
 	res := &results{owners: map[string]string{}}
-	stage := &stageServer{fleet: f, id: "s-1", address: f.ip(101) + ":0", results: res}
-	if err := stage.listen(); err != nil {
-		return 0, err
+	var stages []*stageServer
+	for i, z := range stageZones {
+		s := &stageServer{fleet: f, id: fmt.Sprintf("s-%d", i+1), zone: z, address: f.ip(101+i) + ":0", results: res}
+		if err := s.listen(); err != nil {
+			return 0, err
+		}
+		f.closed = append(f.closed, s)
+		stages = append(stages, s)
 	}
-	f.closed = append(f.closed, stage)
 	var models []*modelServer
 	for i, z := range []string{"pampa-norte", "cuyo-centro"} {
 		m := &modelServer{fleet: f, id: fmt.Sprintf("m-%d", i+1), results: res, slots: make(chan struct{}, modelSlots)}
@@ -304,24 +329,27 @@
 		models = append(models, m)
 	}
 	f.putStages()
-	for _, z := range []string{"pampa-norte", "pampa-sur", "pampa-norte"} {
+	for _, z := range []string{"cuyo-centro", "pampa-norte", "pampa-sur"} {
 		if _, err := f.addNode(z); err != nil {
 			return 0, err
 		}
 		if err := f.awaitReady(); err != nil {
 			return 0, err
 		}
-		time.Sleep(time.Second) // the first node has registered before the others
+		time.Sleep(time.Second)
 	}
 	time.Sleep(4 * time.Second)
-	return f.playHandles(stage, models, trouble)
+	return f.playHandles(stages, res, models, trouble)
 }
 
-// playHandles lets a request of the first node, which is the coordinator, wait at the model server of its region.
-func (f *fleet) playHandles(stage *stageServer, models []*modelServer, trouble bool) (int, error) {
+// playHandles lets a request of the first node, which is the coordinator of its region, wait at a model server.
+func (f *fleet) playHandles(stages []*stageServer, res *results, models []*modelServer, trouble bool) (int, error) {
 	var w sync.WaitGroup
-	for k := range modelSlots { // streams without stages that keep the model server busy
-		n := f.nodes[1+k%2]
+	for k := range 2 * modelSlots { // streams without stages that keep both model servers busy
+		n := f.nodes[0]
+		if k >= modelSlots {
+			n = f.nodes[1+k%2]
+		}
 		w.Go(func() {
 			call(n.callers, request{method: http.MethodPost, host: "jepu9.example", path: "/puxa400/2f", id: fmt.Sprintf("%016x", 1<<44+k), timeout: streamTimeout, body: "question", header: map[string]string{
 				"X-Bergamotspring-Model": "m", "X-Bergamotspring-Token-Usage": "715,80",
@@ -330,17 +358,22 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 	time.Sleep(500 * time.Millisecond)
-	w.Go(func() { f.readResult(f.nodes[0], 0) })
-	if !awaitWaiting(models[0], requestID(0)) {
-		return 0, errors.New("the request does not wait at the model server")
+	w.Go(func() { f.readResult(f.nodes[0], 0, 1) })
+	if !awaitWaiting(models, requestID(0)) {
+		return 0, errors.New("the request does not wait at a model server")
+	}
+	f.printf("%s waits at a model server", requestID(0))
+	stage := res.maker(stages, requestID(0))
+	if stage == nil {
+		return 0, errors.New("no stage server holds the result of the request")
 	}
-	f.printf("%s waits at model server %s", requestID(0), models[0].id)
 	began := time.Now()
 	if trouble {
-		if err := f.nodes[0].signal(syscall.SIGSTOP); err != nil {
+		if err := stage.restart(workerDown); err != nil {
 			return 0, err
 		}
-		if err := stage.restart(workerDown); err != nil {
+		began = time.Now()
+		if err := f.nodes[0].signal(syscall.SIGSTOP); err != nil {
 			return 0, err
 		}
 	}
@@ -361,10 +394,10 @@
 	return broken, nil
 }
 
-// awaitWaiting waits until a request waits for a slot of a model server, and reports whether it does.
-func awaitWaiting(m *modelServer, id string) bool {
+// awaitWaiting waits until a request waits for a slot of one of some model servers, and reports whether it does.
+func awaitWaiting(l []*modelServer, id string) bool {
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if m.isWaiting(id) {
+		if slices.ContainsFunc(l, func(m *modelServer) bool { return m.isWaiting(id) }) {
 			return true
 		}
 	}
