--- a/review/rig-3/fleet.go
+++ b/review/rig-3/fleet.go
@@ -70,10 +70,19 @@
 		record: r, folder: d, stores: map[string]string{}, store: &standin.Store{TransactionTime: 5 * time.Millisecond},
 		subnet: fmt.Sprintf("127.%d.%d.", 32+rand.IntN(200), 1+rand.IntN(250)),
 	}
+	if err := f.serveStore(); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// serveStore serves the store at an address for each region.
+func (f *fleet) serveStore() error {
 	for region, delay := range map[string]time.Duration{storeRegion: 0, otherRegion: 2 * regionTime} {
 		l, err := net.Listen("tcp", f.ip(250)+":0")
 		if err != nil {
-			return nil, err
+			return err
 		}
 		f.stores[region] = l.Addr().String()
 		f.serve(l, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -81,7 +90,7 @@
 			f.store.ServeHTTP(w, q)
 		}))
 	}
-	return f, nil
+	return nil
 }
 
 func (f *fleet) ip(n int) string { return f.subnet + strconv.Itoa(n) }
@@ -175,20 +184,25 @@
 	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "BERGAMOTSPRING_BOOT=" + n.settings}
 	n.command.Stdout, n.command.Stderr = log, log
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	done := make(chan struct{})
+	n.done = done
 	if err := n.command.Start(); err != nil {
+		close(done)
 		return err
 	}
-	n.done = make(chan struct{})
 	go func(c *exec.Cmd, done chan struct{}) {
 		_ = c.Wait()
 		close(done)
-	}(n.command, n.done)
+	}(n.command, done)
 	n.fleet.printf("%s starts", n.name)
 	return nil
 }
 
 // kill ends the process of a node, if it runs.
 func (n *node) kill() {
+	if n.command == nil || n.command.Process == nil {
+		return
+	}
 	_ = n.command.Process.Kill()
 	<-n.done
 }
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -6,11 +6,18 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// longestRun is how long a case may run. The longest one takes 30 s.
+const longestRun = 100 * time.Second
+
 // Exit codes.
 const (
 	exitHeld   = 0
@@ -50,7 +57,7 @@
 		return exitNotRun
 	}
 	defer f.close()
-	broken, err := s(f, os.Getenv("TROUBLE") != "0")
+	broken, err := play(s, f)
 	switch {
 	case err != nil:
 		r.printf("not run: %v", err)
@@ -62,3 +69,26 @@
 	r.printf("result: the rule held")
 	return exitHeld
 }
+
+// play runs a scenario until it has ended, a signal comes or the longest time is over.
+func play(s scenario, f *fleet) (int, error) {
+	type result struct {
+		broken int
+		err    error
+	}
+	done := make(chan result, 1)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		broken, err := s(f, os.Getenv("TROUBLE") != "0")
+		done <- result{broken, err}
+	}()
+	select {
+	case x := <-done:
+		return x.broken, x.err
+	case x := <-stop:
+		return 0, fmt.Errorf("stopped by %v", x)
+	case <-time.After(longestRun):
+		return 0, errors.New("the case takes too long")
+	}
+}
