Log and count responses whose bodies are cut off

The node wrote "answered" for such a request and nothing else, so its log could not tell whether it had been told of the cut (and lost it), or never was.

The exchange now reports each body that ended before it was complete, with the bytes that came and the cause: event response_cut, counter cut_responses_total. No logic changes.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -155,7 +155,7 @@
 		n.Listen = net.Listen
 	}
 	n.store.Address, n.store.RowBytes, n.store.Dial = s.Store, s.RowBytes, n.Dial
-	n.pool.MaxConnections, n.pool.OnForeign = n.maxConnections, n.logForeign
+	n.pool.MaxConnections, n.pool.OnForeign, n.pool.OnCut = n.maxConnections, n.logForeign, n.onCut
 	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) { return n.Dial(ctx, "tcp", address) }
 	n.cache.Now, n.roster.Now = time.Now, time.Now
 	n.sampler.now, n.crashes.Now = time.Now, time.Now
@@ -243,6 +243,13 @@
 		zap.String("request", f.Echo), zap.Int("status", f.Status))
 }
 
+// onCut logs and counts a response that was cut off in its body.
+func (n *Node) onCut(c exchange.CutResponse) {
+	n.meter.countCut()
+	n.Log.Warn("response_cut", zap.String("address", c.Address), zap.String("target", c.Target), zap.String("request", c.Echo),
+		zap.Int("status", c.Status), zap.Int64("length", c.Length), zap.Error(c.Cause))
+}
+
 // serve runs a server until the context ends. A server that is being shut down stops accepting
 // at once, but its requests go on until the context ends.
 func (n *Node) serve(ctx context.Context, s *http.Server) error {
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// countCut counts a response that was cut off in its body.
+func (m *meter) countCut() { m.requests.Scope(nil).Counter("cut_responses_total").Inc(1) }
+
 // countBatch records the end of a batch, sent or not.
 func (m *meter) countBatch(service string, ok bool, tasks int, took time.Duration) {
 	f := m.batches.Scope(map[string]string{"service": service, "ok": strconv.FormatBool(ok)})
--- a/io/exchange/body.go
+++ b/io/exchange/body.go
@@ -19,6 +19,7 @@
 // body is a response body that returns the connection to the pool at its end.
 type body struct {
 	io.ReadCloser
+	cut     CutResponse // as it is reported if the body is cut off
 	conn    *conn
 	request *writing
 	stop    func() bool
@@ -39,6 +40,7 @@
 		p = p[:b.left-1]
 	}
 	n, err := b.ReadCloser.Read(p)
+	b.cut.Length += int64(n)
 	if b.left > 0 {
 		b.left -= int64(n)
 	}
@@ -55,6 +57,9 @@
 		b.end(nil)
 		return n, io.EOF
 	}
+	if b.cut.Cause = err; !b.conn.aborted.Load() {
+		b.conn.pool.reportCut(b.cut)
+	}
 	b.end(err)
 	return n, &BrokenError{Cause: err}
 }
--- a/io/exchange/conn.go
+++ b/io/exchange/conn.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +23,7 @@
 	// interchangeable is Request.Interchangeable of its requests.
 	interchangeable bool
 	seen            ids
+	aborted         atomic.Bool // the context of its exchange has ended
 
 	identity identity // of the process that it leads to
 	greeting []byte   // body of the response to its handshake; nil: there was none
@@ -65,7 +67,10 @@
 }
 
 // abort closes the connection, so that a read or write in progress fails.
-func (c *conn) abort() { _ = c.Close() } // the user of the connection gets the error
+func (c *conn) abort() {
+	c.aborted.Store(true)
+	_ = c.Close() // the user of the connection gets the error
+}
 
 func (c *conn) close() {
 	_ = c.Close() // the connection is not used again
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -109,6 +109,17 @@
 	Status  int    // 0: not read
 }
 
+// CutResponse describes a response whose body ended before it was complete. Bodies that were not read to their end, as their
+// context ended or they were closed, are not reported.
+type CutResponse struct {
+	Address string
+	Target  string // of the request
+	Echo    string // value of its Echo header; empty: the request has none
+	Status  int
+	Length  int64 // bytes of the body that were read
+	Cause   error
+}
+
 var (
 	errForeignResponse = errors.New("answer belongs to another request")
 	errInterim         = errors.New("too many 1xx responses")
@@ -171,7 +182,7 @@
 	// A copy of a response to HEAD would take the length of its missing body from the response that follows.
 	reuse := r.Echo != "" && !a.Close && framed(a) && r.Method != http.MethodHead
 	return a, &body{
-		ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse, framed: framed(a), left: a.ContentLength,
+		cut: CutResponse{Address: c.address, Target: r.Target, Echo: r.id(), Status: a.StatusCode}, ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse, framed: framed(a), left: a.ContentLength,
 		scan: bodyScan{echo: r.Echo, seen: c.seen},
 	}, nil
 }
--- a/io/exchange/pool.go
+++ b/io/exchange/pool.go
@@ -50,6 +50,8 @@
 	MaxConnections func(address string) int
 	// OnForeign is called for each response that no request waits for; may be nil.
 	OnForeign func(ForeignResponse)
+	// OnCut is called for each response that was cut off in its body; may be nil.
+	OnCut func(CutResponse)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -189,6 +191,13 @@
 	}
 }
 
+// reportCut reports a response that was cut off.
+func (p *Pool) reportCut(c CutResponse) {
+	if p.OnCut != nil {
+		p.OnCut(c)
+	}
+}
+
 func (p *Pool) release(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
