Never lose the end of a response's body between its readers

Cause: net/http returns the last bytes of a chunk together with the error for what follows, if that has come. io.ReadFull drops an error that comes with the last byte that it asked for, and exchange.body answered io.EOF to each read after its end. Ruled out in a trace (docs/incidents): that the exchange does not notice (response_cut came 0.14 ms before "answered"), and a second send.

Change: io/httpbody knows how a body ended. Its Reader keeps the end, returns it to each later read and never with bytes; Fill and ReadAll lose no error. The exchange reads all bodies through it, those of stage servers with the checks that others had, and the proxy fills its buffers by it.

--- a/io/edge/cutstreams_test.go
+++ b/io/edge/cutstreams_test.go
@@ -133,3 +133,37 @@
 		}
 	}
 }
+
+// A server cuts off its response at the end of a chunk that fills a buffer of the node, and goes on with bytes that are no
+// chunk: no caller gets the part as a whole success, and a request that may run again goes to another server. A sound
+// response in such chunks is delivered. Guards against review case 11.
+func TestCutAtEndOfBuffer(t *testing.T) {
+	const size = 30000
+	body := strings.Repeat("0123456789", size/10)
+	response := func(x platformstandin.Run, chunk, end int, rest string) string {
+		b := head(x, "200 OK", "Transfer-Encoding: chunked")
+		for at := 0; at < end; at += chunk {
+			n := min(chunk, size-at)
+			b += fmt.Sprintf("%x\r\n%s\r\n", n, body[at:at+n])
+		}
+		return b + rest
+	}
+	for _, chunk := range []int{4096, 12288, 28672} {
+		for _, rest := range []string{"server error: worker thread ended\r\n", "\r\n", ""} {
+			runFleet(t, func(w *testFleet) {
+				cut := func(x platformstandin.Run) string { return response(x, chunk, chunk, rest) }
+				whole := func(x platformstandin.Run) string { return response(x, chunk, size, "0\r\n\r\n") }
+				for path, want := range map[string]int{"/read/x": http.StatusOK, "/file/x": http.StatusBadGateway} {
+					w.raw("plain", cut, whole)
+					if r := w.request("a1", http.MethodPost, path, "cut"+path); r.status != want || want == http.StatusOK && r.body != body {
+						t.Errorf("%s, chunks of %d, then %q: got %d %v and %d of %d bytes, want %d", path, chunk, rest, r.status, r.err, len(r.body), size, want)
+					}
+					w.raw("plain", whole)
+					if r := w.request("a1", http.MethodPost, path, "whole"+path); r.status != http.StatusOK || r.err != nil || r.body != body {
+						t.Errorf("%s, chunks of %d: got %d %v and %d of %d bytes of a sound response", path, chunk, r.status, r.err, len(r.body), size)
+					}
+				}
+			})
+		}
+	}
+}
--- a/io/exchange/body.go
+++ b/io/exchange/body.go
@@ -1,11 +1,14 @@
 package exchange
 
-// This file defines the body of a response, at whose end the exchange ends.
+// This file defines the body of a response: whether it is complete, and that its end is that of the exchange.
 
 import (
-	"context"
+	"errors"
 	"io"
+	"net/http"
 	"time"
+
+	"bergamotspring/io/httpbody"
 )
 
 const (
@@ -16,31 +19,49 @@
 	maxJoined = readBuffer / 2
 )
 
-// body is a response body that returns the connection to the pool at its end.
+// body is the body of a response that is handed out. Its end is that of the exchange.
 type body struct {
-	io.ReadCloser
-	cut     CutResponse // as it is reported if the body is cut off
+	*httpbody.Reader
+}
+
+// Close ends the exchange. If the body was not read to its end, the connection is closed too.
+func (b body) Close() error {
+	b.Abandon()
+	return nil
+}
+
+// content is the body of a response as its connection delivers it, with the checks that its framing does not make. It is read
+// through a httpbody.Reader only.
+type content struct {
+	io.Reader
 	conn    *conn
 	request *writing
-	stop    func() bool
-	reuse   bool
-	framed  bool // see Response
-	done    bool
+	framed  bool  // see Response
 	left    int64 // bytes still to be read; -1 if unknown
 	scan    bodyScan
 }
 
-// Read reads the body. An error other than io.EOF means that it is not complete.
-func (b *body) Read(p []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
+// body returns the body of the response to r, which was written by w. Its end is io.EOF if it is complete, and otherwise a
+// *BrokenError.
+func (c *conn) body(a *http.Response, r *Request, w *writing) *httpbody.Reader {
+	b := &httpbody.Reader{Source: &content{
+		Reader: a.Body, conn: c, request: w, framed: framed(a), left: a.ContentLength, scan: bodyScan{echo: r.Echo, seen: c.seen},
+	}}
+	b.OnEnd = func(end error) {
+		if _, broken := errors.AsType[*BrokenError](end); broken && !c.aborted.Load() {
+			c.pool.reportCut(CutResponse{Address: c.address, Target: r.Target, Echo: r.id(), Status: a.StatusCode, Length: b.Length(), Cause: end})
+		}
 	}
+	return b
+}
+
+// Read implements io.Reader.
+func (b *content) Read(p []byte) (int, error) {
 	// The last bytes of a body are read through the buffer of the connection, which then has what follows them.
 	if b.left >= readBuffer && int64(len(p)) >= b.left {
 		p = p[:b.left-1]
 	}
-	n, err := b.ReadCloser.Read(p)
-	b.cut.Length += int64(n)
+	n, err := b.Reader.Read(p)
 	if b.left > 0 {
 		b.left -= int64(n)
 	}
@@ -50,23 +71,15 @@
 	if b.scan.found(p[:n]) || err == io.EOF && b.joins() {
 		n, err = 0, errJoinedBody
 	}
-	if err == nil {
-		return n, nil
-	}
-	if err == io.EOF {
-		b.end(nil)
-		return n, io.EOF
+	if err == nil || err == io.EOF {
+		return n, err
 	}
-	if b.cut.Cause = err; !b.conn.aborted.Load() {
-		b.conn.pool.reportCut(b.cut)
-	}
-	b.end(err)
 	return n, &BrokenError{Cause: err}
 }
 
 // joins reports whether the body has gone over into another response whose head goes on after the end of the body. If it
 // ends inside a head, the rest of that may come for joinWait.
-func (b *body) joins() bool {
+func (b *content) joins() bool {
 	if b.scan.joins(b.conn.buffered()) {
 		return true
 	}
@@ -85,25 +98,3 @@
 	}
 	return false
 }
-
-// Close ends the exchange. If the body was not read to its end, the connection is closed
-// too.
-func (b *body) Close() error {
-	if !b.done {
-		b.end(context.Canceled)
-	}
-	return nil
-}
-
-func (b *body) end(err error) {
-	b.done = true
-	active := b.stop()
-	if err == nil && b.conn.in.Buffered() > 0 {
-		b.conn.pool.report(ForeignResponse{Address: b.conn.address})
-	}
-	if err == nil && active && b.reuse && b.request.complete() && b.conn.reusable() {
-		b.conn.pool.put(b.conn)
-		return
-	}
-	b.conn.close()
-}
--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -16,6 +16,8 @@
 	"net/http"
 	"slices"
 	"strconv"
+
+	"bergamotspring/io/httpbody"
 )
 
 const (
@@ -135,20 +137,46 @@
 // ends, the connection is closed, also while the body is read. The error is an *UnsentError
 // or a *BrokenError.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	a, b, err := p.do(ctx, r) //nolint:bodyclose // closed by the returned body
+	a, x, err := p.do(ctx, r) //nolint:bodyclose // closed by the returned body
 	if err != nil {
 		return nil, err
 	}
 	r.Guard.onHead(a.StatusCode, a.Header)
+	b := x.conn.body(a, r, x.request)
+	report := b.OnEnd
+	b.OnEnd = func(end error) {
+		report(end)
+		x.end(b.Complete())
+	}
 	if a.ContentLength == 0 || a.Body == http.NoBody {
-		b.end(nil)
+		_, _ = b.Read(make([]byte, 1)) // there is none, so that the exchange ends
 	}
-	return &Response{Status: a.StatusCode, Header: a.Header, Body: b, Length: a.ContentLength, Framed: framed(a), conn: b.conn}, nil
+	return &Response{Status: a.StatusCode, Header: a.Header, Body: body{b}, Length: a.ContentLength, Framed: framed(a), conn: x.conn}, nil
+}
+
+// inProgress is an exchange whose response is being read.
+type inProgress struct {
+	conn    *conn
+	request *writing
+	stop    func() bool // ends the watch on the context, and reports whether that has not ended
+	reuse   bool        // the connection may be used again if the response is complete
 }
 
-// do sends a request and returns its response and the body, at whose end the connection is
-// returned to the pool or closed.
-func (p *Pool) do(ctx context.Context, r *Request) (*http.Response, *body, error) {
+// end ends the exchange: the connection is returned to the pool if the response is complete, and else closed.
+func (x *inProgress) end(complete bool) {
+	active := x.stop()
+	if complete && x.conn.in.Buffered() > 0 {
+		x.conn.pool.report(ForeignResponse{Address: x.conn.address})
+	}
+	if complete && active && x.reuse && x.request.complete() && x.conn.reusable() {
+		x.conn.pool.put(x.conn)
+		return
+	}
+	x.conn.close()
+}
+
+// do sends a request and returns its response, whose body is still to be read, and the exchange, which is still to be ended.
+func (p *Pool) do(ctx context.Context, r *Request) (*http.Response, *inProgress, error) {
 	onWritten := r.OnWritten
 	defer func() {
 		if onWritten != nil {
@@ -181,10 +209,7 @@
 	}
 	// A copy of a response to HEAD would take the length of its missing body from the response that follows.
 	reuse := r.Echo != "" && !a.Close && framed(a) && r.Method != http.MethodHead
-	return a, &body{
-		cut: CutResponse{Address: c.address, Target: r.Target, Echo: r.id(), Status: a.StatusCode}, ReadCloser: a.Body, conn: c, request: w, stop: stop, reuse: reuse, framed: framed(a), left: a.ContentLength,
-		scan: bodyScan{echo: r.Echo, seen: c.seen},
-	}, nil
+	return a, &inProgress{conn: c, request: w, stop: stop, reuse: reuse}, nil
 }
 
 // Identify decides whether a response belongs to a request whose server echoes no id. It returns a mark
@@ -198,49 +223,48 @@
 // and it is a 200. If the response does not belong to the request, or is longer than limit bytes, the exchange
 // counts as broken off.
 func (p *Pool) Whole(ctx context.Context, r *Request, limit int64, identify Identify) (int, []byte, error) {
-	a, body, err := p.do(ctx, r) //nolint:bodyclose // ended below
+	a, x, err := p.do(ctx, r) //nolint:bodyclose // ended below
 	if err != nil {
 		return 0, nil, err
 	}
 	var b []byte
 	for n := 0; ; n++ {
 		var mark string
-		b, mark, err = readWhole(a, r.OnRead, limit, identify)
-		if !body.conn.repeatsHandshake(b) && body.conn.isNew(r, mark) {
+		b, mark, err = readWhole(a, x.conn.body(a, r, x.request), r.OnRead, limit, identify)
+		if !x.conn.repeatsHandshake(b) && x.conn.isNew(r, mark) {
 			r.Guard.onHead(a.StatusCode, a.Header)
-			body.reuse = (mark != "" || r.Interchangeable && a.StatusCode == http.StatusOK) && framed(a) && !a.Close
+			x.reuse = (mark != "" || r.Interchangeable && a.StatusCode == http.StatusOK) && framed(a) && !a.Close
 			break
 		}
-		body.conn.onForeign(r, a.StatusCode)
+		x.conn.onForeign(r, a.StatusCode)
 		if n == maxSkipped || a.Close || !framed(a) {
 			err = errForeignResponse
 			break
 		}
-		if a, err = body.conn.readResponse(r); err != nil { //nolint:bodyclose // ended below
+		if a, err = x.conn.readResponse(r); err != nil { //nolint:bodyclose // ended below
 			break
 		}
 	}
-	body.end(err)
+	x.end(err == nil)
+	if _, broken := errors.AsType[*BrokenError](err); broken {
+		return 0, nil, err
+	}
 	if err != nil {
 		return 0, nil, &BrokenError{Cause: err}
 	}
-	p.confirmWitness(body.conn)
+	p.confirmWitness(x.conn)
 	return a.StatusCode, b, nil
 }
 
 // readWhole reads the body of a response and identifies it.
-func readWhole(a *http.Response, onRead func(n int), limit int64, identify Identify) (b []byte, mark string, err error) {
-	var in io.Reader = a.Body
+func readWhole(a *http.Response, in io.Reader, onRead func(n int), limit int64, identify Identify) (b []byte, mark string, err error) {
 	if onRead != nil {
 		in = &countingReader{Reader: in, onRead: onRead}
 	}
-	b, err = io.ReadAll(io.LimitReader(in, limit+1))
+	b, err = httpbody.ReadAll(in, a.ContentLength, limit)
 	if err != nil {
 		return nil, "", err
 	}
-	if int64(len(b)) > limit {
-		return nil, "", errTooLarge
-	}
 	mark, err = identify(a.StatusCode, b)
 	return b, mark, err
 }
--- a/io/exchange/handshake.go
+++ b/io/exchange/handshake.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return false, "", err
 	}
-	b, name, err := readWhole(a, nil, maxHandshake, h.Identify)
+	b, name, err := readWhole(a, c.body(a, h.Request, w), nil, maxHandshake, h.Identify)
 	r.Guard.onHead(a.StatusCode, a.Header)
 	if err != nil {
 		return false, "", err
--- a/io/proxy/body.go
+++ b/io/proxy/body.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"bergamotspring/core/memory"
+	"bergamotspring/io/httpbody"
 )
 
 const (
@@ -58,14 +59,12 @@
 		q.out.Header().Set("Connection", "close")
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	in := &upload{Reader: http.MaxBytesReader(q.out, r.Body, limit), holder: q.bodyHolder}
+	in := &httpbody.Reader{Source: &upload{Reader: http.MaxBytesReader(q.out, r.Body, limit), holder: q.bodyHolder}}
 	if n := r.ContentLength; n >= 0 {
 		if !q.reserve(n) {
 			return nil, errMemory
 		}
-		b := make([]byte, n)
-		_, err := io.ReadFull(in, b)
-		return b, err
+		return httpbody.ReadAll(in, n, limit)
 	}
 	var b []byte
 	for {
--- a/io/proxy/delivery.go
+++ b/io/proxy/delivery.go
@@ -14,6 +14,7 @@
 
 	"bergamotspring/core/memory"
 	"bergamotspring/core/relay"
+	"bergamotspring/io/httpbody"
 )
 
 const (
@@ -167,10 +168,10 @@
 		}
 		p := make([]byte, min(size, left))
 		q.delivery.hold(len(p))
-		n, err := io.ReadFull(a.response.Body, p)
+		n, err := httpbody.Fill(a.response.Body, p)
 		a.chunks = append(a.chunks, p[:n])
 		a.buffered += n
-		if err == io.EOF || err == io.ErrUnexpectedEOF { // the latter if part of p was read
+		if ended(err) {
 			return
 		}
 		if err != nil {
