--- a/io/backend/completion.go
+++ b/io/backend/completion.go
@@ -15,6 +15,7 @@
 	"github.com/go-json-experiment/json/jsontext"
 
 	"bergamotspring/core/stage"
+	"bergamotspring/io/httpbody"
 )
 
 // Completion is a completion request. The response is assembled in a stage.Assembler;
@@ -112,7 +113,7 @@
 
 func (s *stream) read(p *http.Response) error {
 	br := readers.Get().(*bufio.Reader)
-	br.Reset(p.Body)
+	br.Reset(&httpbody.Reader{Source: p.Body})
 	defer func() {
 		br.Reset(nil)
 		readers.Put(br)
--- a/io/backend/json.go
+++ b/io/backend/json.go
@@ -6,11 +6,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-json-experiment/json/jsontext"
+
+	"bergamotspring/io/httpbody"
 )
 
 // Response is the complete response to a JSON call.
@@ -77,25 +78,10 @@
 var closingBrace = []byte("}")
 
 func readBody(r *http.Response) ([]byte, error) {
-	if r.ContentLength > maxResponse {
-		return nil, errResponseTooLong
-	}
-	if r.ContentLength >= 0 {
-		b := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, b)
-		return b, err
-	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, maxResponse+1))
-	if err == nil && len(b) > maxResponse {
-		err = errResponseTooLong
-	}
-	return b, err
+	return httpbody.ReadAll(&httpbody.Reader{Source: r.Body}, r.ContentLength, maxResponse)
 }
 
-var (
-	errResponseTooLong = errors.New("answer is over " + strconv.Itoa(maxResponse) + " bytes")
-	errShape           = errors.New("unexpected JSON value")
-)
+var errShape = errors.New("unexpected JSON value")
 
 // parse fills a from {call_id,output,end,cold}. The output is not copied.
 func (x *exchange) parse(body []byte, a *Response) error {
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 
 	"bergamotspring/core/fleet"
 	"bergamotspring/core/outcome"
+	"bergamotspring/io/httpbody"
 )
 
 // maxKeyBytes bounds an operation key, which becomes part of a key in the table service.
@@ -140,12 +140,7 @@
 	c := http.NewResponseController(w)
 	_ = c.SetReadDeadline(s.now().Add(bodyTimeout)) // not supported by test recorders
 	var err error
-	if r.ContentLength >= 0 {
-		in.body = make([]byte, n)
-		_, err = io.ReadFull(r.Body, in.body)
-	} else {
-		in.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, int64(m)))
-	}
+	in.body, err = httpbody.ReadAll(&httpbody.Reader{Source: http.MaxBytesReader(w, r.Body, int64(m))}, r.ContentLength, int64(m))
 	_ = c.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
--- a/io/demo/callers.go
+++ b/io/demo/callers.go
@@ -15,6 +15,7 @@
 
 	"bergamotspring/core/outcome"
 	"bergamotspring/core/record"
+	"bergamotspring/io/httpbody"
 	"bergamotspring/io/standin"
 )
 
@@ -148,9 +149,16 @@
 	Text    string          `json:"text"`
 }
 
+// maxResponse bounds a response that is not streamed, in bytes.
+const maxResponse = 16 << 20
+
 func readBody(b io.Reader, generated bool, r *Response) error {
+	text, err := httpbody.ReadAll(b, -1, maxResponse)
+	if err != nil {
+		return err
+	}
 	var a responseBody
-	if err := json.NewDecoder(b).Decode(&a); err != nil {
+	if err := json.Unmarshal(text, &a); err != nil {
 		return err
 	}
 	r.Outcome, r.Message, r.Ran = a.Outcome, a.Message, a.Ran
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -15,6 +14,7 @@
 	"sync/atomic"
 
 	"bergamotspring/core/fleet"
+	"bergamotspring/io/httpbody"
 	"bergamotspring/schema"
 	wire "bergamotspring/schema/operatorwire"
 	"bergamotspring/schema/setting"
@@ -137,7 +137,7 @@
 		return &UnreachableError{URL: u, Sent: changes && wrote.Load(), Cause: urlErrorCause(err)}
 	}
 	defer func() { _ = p.Body.Close() }() // the response was read or is abandoned
-	b, err := io.ReadAll(io.LimitReader(p.Body, maxResponseBytes))
+	b, err := httpbody.ReadAll(&httpbody.Reader{Source: p.Body}, p.ContentLength, maxResponseBytes)
 	if err != nil {
 		return &UnreachableError{URL: u, Sent: changes, Cause: err}
 	}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bergamotspring/core/fleet"
+	"bergamotspring/io/httpbody"
 	"bergamotspring/schema"
 	wire "bergamotspring/schema/operatorwire"
 	"bergamotspring/schema/setting"
@@ -134,7 +135,7 @@
 
 // readDeclaration reads a declaration from the body.
 func readDeclaration(r *http.Request) (*fleet.Declaration, error) {
-	b, err := io.ReadAll(r.Body)
+	b, err := httpbody.ReadAll(&httpbody.Reader{Source: r.Body}, -1, schema.MaxDocument) // MaxBytesReader applies first
 	var m *http.MaxBytesError
 	if errors.As(err, &m) {
 		return nil, &Error{Code: CodeBadRequest, Message: fmt.Sprintf("declaration is longer than %d bytes", m.Limit)}
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"io"
 	"sync"
 
@@ -131,7 +132,11 @@
 		*b = make([]byte, max(n, 512))
 	}
 	p := (*b)[:n]
-	if _, err := io.ReadFull(r, p); err != nil {
+	_, err := io.ReadFull(r, p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF // the header promised more
+	}
+	if err != nil {
 		return message{}, err
 	}
 	return parse(p)
--- a/io/peer/frame_test.go
+++ b/io/peer/frame_test.go
@@ -140,3 +140,18 @@
 		}
 	}
 }
+
+// A connection that ends inside a frame, also just after its header, does not look like one that ends between two frames.
+func TestCutFrame(t *testing.T) {
+	b, err := encode(TypePing, 1, &wire.Ping{Sent: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range b.Len() {
+		var buf []byte
+		_, err := readFrame(bytes.NewReader(b.Bytes()[:n]), &buf, 100)
+		if want := n > 0; err == nil || errors.Is(err, io.EOF) == want {
+			t.Errorf("cut after %d of %d bytes: got %v", n, b.Len(), err)
+		}
+	}
+}
--- a/io/tables/client.go
+++ b/io/tables/client.go
@@ -17,6 +17,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"bergamotspring/io/httpbody"
 )
 
 const (
@@ -200,14 +202,11 @@
 		limit = defaultMaxResponseBytes
 	}
 	a.status = s.StatusCode
-	a.body, err = io.ReadAll(io.LimitReader(&progressReader{r: s.Body, progress: progress}, limit+1))
-	if err != nil {
-		return err
-	}
-	if int64(len(a.body)) > limit {
-		return &TooLargeError{Limit: limit}
+	a.body, err = httpbody.ReadAll(&httpbody.Reader{Source: &progressReader{r: s.Body, progress: progress}}, s.ContentLength, limit)
+	if e, ok := errors.AsType[*httpbody.TooLongError](err); ok {
+		return &TooLargeError{Limit: e.Limit}
 	}
-	return nil
+	return err
 }
 
 // statusError describes a response that the protocol does not define.
