Log when a stopping node ends arrivals, and how long the store took

The log had the signal (stop) and nothing until the end of the process, so it could not tell a late end of arrivals from a request that was read early.

arrivals_ended names the time since the signal, unregistered and unregister_failed how long the calls to the store took. No logic changes.

--- a/io/edge/members.go
+++ b/io/edge/members.go
@@ -188,7 +188,10 @@
 	if !ok {
 		return
 	}
+	start := time.Now()
 	if err := platform.Unregister(ctx, &n.store, x); err != nil {
-		n.Log.Warn("unregister_failed", zap.Error(err)) // the other nodes will find this one silent
+		n.Log.Warn("unregister_failed", zap.Duration("took", time.Since(start)), zap.Error(err)) // the other nodes will find this one silent
+		return
 	}
+	n.Log.Info("unregistered", zap.Duration("took", time.Since(start)))
 }
--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -66,7 +66,8 @@
 	case <-work.Done():
 		return nil
 	}
-	deadline := time.Now().Add(n.Settings.Grace - stopMargin)
+	signal := time.Now()
+	deadline := signal.Add(n.Settings.Grace - stopMargin)
 	n.stopping.Store(true)
 	n.Log.Info("stop", zap.Time("limit", deadline))
 	defer n.drain.schedule(deadline)()
@@ -74,6 +75,7 @@
 	n.unregister(work)
 	wait.Sleep(work, acceptAfterStop)
 	n.drain.endArrivals()
+	n.Log.Info("arrivals_ended", zap.Duration("after", time.Since(signal)))
 	c, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := callers.Shutdown(c); err != nil {
