Count every deadline of a planned stop from the signal

Cause: the 3 s in which a stopping node accepts requests began when two calls to the store had ended. Trace: unregistered took=0.054, arrivals_ended after=3.0546; streams until 3.054 s ran, that of 3.056 s did not.

Change: all deadlines are computed from the signal and armed at once. The hand-over and the calls to the store run beside them. Arrivals end 100 ms before 3 s, as the signal may reach the process late.

Before: TestStopCountsFromSignal failed for a store that takes 0.8 s a call or never answers, at the coordinator and at another node; it passes now, with the requests that are sent in time served whole.

--- a/io/edge/stop.go
+++ b/io/edge/stop.go
@@ -8,14 +8,14 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"bergamotspring/io/wait"
 )
 
 const (
-	// acceptAfterStop is how long a stopping node still accepts connections and requests: the load balancer
-	// stops sending requests after two failed probes, a second apart.
-	acceptAfterStop = 3 * time.Second
+	// acceptAfterStop is how long after the signal a stopping node still accepts connections and requests: the load
+	// balancer stops sending requests after two failed probes, a second apart. Requests that are sent later than 3 s after
+	// the signal must not be cut, and the signal may reach the process signalDelay late.
+	acceptAfterStop = 3*time.Second - signalDelay
+	signalDelay     = 100 * time.Millisecond
 	// stopMargin is the time between the deadline for requests and the end of the grace
 	// period, when the process is killed.
 	stopMargin = 300 * time.Millisecond
@@ -47,14 +47,36 @@
 	d.endRequests()
 }
 
-// schedule ends the contexts in time for a stop at the deadline, and returns a function that
-// releases the timers.
-func (d *drain) schedule(deadline time.Time) func() {
-	p := time.AfterFunc(time.Until(deadline.Add(-endPlacementsMargin)), d.endPlacements)
-	r := time.AfterFunc(time.Until(deadline.Add(-endRequestsMargin)), d.endRequests)
+// stopTimes are the deadlines of a stop. All of them count from the signal, so that nothing that the node does or waits for
+// meanwhile moves one.
+type stopTimes struct {
+	arrivals   time.Time // from then on, nothing new is accepted
+	placements time.Time // from then on, requests that wait for a placement are refused
+	requests   time.Time // when all other requests get their final response
+	end        time.Time // when connections are cut
+}
+
+// stopTimesOf returns the deadlines of a stop, from the time of the signal and that until the process is killed.
+func stopTimesOf(signal time.Time, grace time.Duration) stopTimes {
+	end := signal.Add(grace - stopMargin)
+	t := stopTimes{arrivals: signal.Add(acceptAfterStop), placements: end.Add(-endPlacementsMargin), requests: end.Add(-endRequestsMargin), end: end}
+	if t.arrivals.After(t.placements) {
+		t.arrivals = t.placements
+	}
+	return t
+}
+
+// schedule ends the contexts at the times of a stop, and returns a function that releases the timers.
+func (d *drain) schedule(t stopTimes) func() {
+	l := []*time.Timer{
+		time.AfterFunc(time.Until(t.arrivals), d.endArrivals),
+		time.AfterFunc(time.Until(t.placements), d.endPlacements),
+		time.AfterFunc(time.Until(t.requests), d.endRequests),
+	}
 	return func() {
-		p.Stop()
-		r.Stop()
+		for _, x := range l {
+			x.Stop()
+		}
 	}
 }
 
@@ -67,19 +89,37 @@
 		return nil
 	}
 	signal := time.Now()
-	deadline := signal.Add(n.Settings.Grace - stopMargin)
+	t := stopTimesOf(signal, n.Settings.Grace)
 	n.stopping.Store(true)
-	n.Log.Info("stop", zap.Time("limit", deadline))
-	defer n.drain.schedule(deadline)()
-	n.scheduler.handOver() // before the call to the store, which may not respond
-	n.unregister(work)
-	wait.Sleep(work, acceptAfterStop)
+	n.Log.Info("stop", zap.Time("limit", t.end))
+	defer n.drain.schedule(t)()
+	defer n.startLeaving(work)()
+	select {
+	case <-n.drain.arrivals.Done():
+	case <-work.Done():
+	}
 	n.drain.endArrivals()
 	n.Log.Info("arrivals_ended", zap.Duration("after", time.Since(signal)))
-	c, cancel := context.WithDeadline(context.Background(), deadline)
+	c, cancel := context.WithDeadline(context.Background(), t.end)
 	defer cancel()
 	if err := callers.Shutdown(c); err != nil {
 		n.Log.Warn("requests_cut", zap.Error(err))
 	}
 	return nil
 }
+
+// startLeaving hands over what this node coordinates, and removes its row from the store, whose calls may take long. It does
+// not wait for that; the function that it returns ends it.
+func (n *Node) startLeaving(ctx context.Context) (end func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.scheduler.handOver()
+		n.unregister(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
