--- a/cmd/bergamotspring/main.go
+++ b/cmd/bergamotspring/main.go
@@ -51,6 +51,9 @@
 	if err != nil {
 		return "", []error{err}
 	}
+	if len(c.Problems) > 0 {
+		return "", c.Problems
+	}
 	if len(c.Routes) == 0 {
 		return "", []error{errors.New("names no routes")}
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -34,6 +34,8 @@
 	Priority int      // 0 is the most urgent
 	Regions  []string // regions that may serve it; empty: all
 	Stages   []Stage
+	// Unreadable says that only Name, Host and Prefix are known. Requests are refused until a version can be read.
+	Unreadable bool
 }
 
 // Target is a share of a route's requests.
@@ -91,6 +93,11 @@
 	MaxBody  int64 // maximum size of a request's body in bytes
 	// Keys maps each key to its organisation. Nil: requests carry no keys.
 	Keys map[string]*Organisation
+	// HidesRoutes and HidesKeys say that it has routes, or keys, that could not be read. What is not found may be one
+	// of them, and is neither allowed nor unknown.
+	HidesRoutes, HidesKeys bool
+	// Problems lists what could not be read. The other parts are in force.
+	Problems []error
 }
 
 // Server is a backend server as it registered itself.
--- a/core/relay/view.go
+++ b/core/relay/view.go
@@ -85,6 +85,18 @@
 	return o, o != nil || r.Public
 }
 
+// Undecided reports whether it depends on a part of the configuration that could not be read if a request is allowed, and
+// how it is served. The route is that of Match, nil if there is none, and the organisation that of the key.
+func (v *View) Undecided(r *Route, o *Organisation, key string) bool {
+	switch {
+	case r == nil:
+		return v.Config.HidesRoutes
+	case r.Unreadable:
+		return true
+	}
+	return o == nil && key != "" && v.Config.HidesKeys
+}
+
 // Pick returns the service that serves a request, by the weights of the targets. The same
 // request id always gives the same service.
 func (r *Route) Pick(id string) string {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -185,7 +185,7 @@
 	n.tableFollower.core = fanout.Follower{Self: s.Peer, Now: time.Now}
 	n.tableFollower.outages.Self = s.Peer
 	n.tableCache = tableCache{
-		settings: s, protocol: n.self.Protocol, store: &n.store, cache: &n.cache, roster: &n.roster, log: n.Log,
+		settings: s, protocol: n.self.Protocol, store: &n.store, cache: &n.cache, roster: &n.roster, log: n.Log, meter: n.meter,
 		onConfirm: n.tableFollower.onConfirm, onResponse: n.tableFollower.onStoreResponse, onFailure: n.tableFollower.onStoreFailure,
 		onServer: n.onServerEntry, onNodesRestored: n.onNodesRestored, onVersions: n.rollouts.setVersions, onOrders: n.rollouts.setOrders,
 	}
--- a/io/edge/metrics.go
+++ b/io/edge/metrics.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// reportConfiguration records the configuration that was put in force, and how many of its parts cannot be read.
+func (m *meter) reportConfiguration(c *relay.Configuration) {
+	f := m.tables.Scope(nil)
+	f.Gauge("configuration_version").Update(float64(c.Version))
+	f.Gauge("configuration_problems").Update(float64(len(c.Problems)))
+}
+
+// reportUnreadable records whether the newest configuration cannot be read at all.
+func (m *meter) reportUnreadable(unreadable bool) {
+	n := 0.0
+	if unreadable {
+		n = 1
+	}
+	m.tables.Scope(nil).Gauge("configuration_unreadable").Update(n)
+}
+
 // reportMemory records what is held, and what was refused and ended since the last time.
 func (m *meter) reportMemory(u, last memory.Usage) {
 	for c, n := range u.Held {
--- a/io/edge/tablecache.go
+++ b/io/edge/tablecache.go
@@ -28,6 +28,9 @@
 // one line.
 const manyEntries = 16
 
+// maxLoggedProblems bounds the problems of a configuration that are logged.
+const maxLoggedProblems = 20
+
 // tableCache holds the node's copies of the store's tables and applies their rows to its caches.
 type tableCache struct {
 	settings *platform.Settings
@@ -36,6 +39,7 @@
 	cache    *relay.Cache
 	roster   *roster.Roster
 	log      *zap.Logger
+	meter    *meter
 	// onConfirm is called after the store has confirmed a table.
 	onConfirm func()
 	// onResponse and onFailure are called when the store has responded with servers' entries, before they
@@ -149,12 +153,18 @@
 	}
 	b.takeOut(out)
 	defer func() { b.onOrders(storeRows(rows)) }()
+	b.meter.reportUnreadable(err != nil)
 	if err != nil {
 		b.log.Error("configuration_unreadable", zap.Error(err))
 		return
 	}
-	if b.cache.Install(c) {
-		b.log.Info("configuration_installed", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)), zap.Int("taken_out", len(out)))
+	if !b.cache.Install(c) {
+		return
+	}
+	b.meter.reportConfiguration(c)
+	b.log.Info("configuration_installed", zap.Int64("version", c.Version), zap.Int("routes", len(c.Routes)), zap.Int("taken_out", len(out)))
+	for _, p := range c.Problems[:min(len(c.Problems), maxLoggedProblems)] {
+		b.log.Error("configuration_part_unreadable", zap.Int64("version", c.Version), zap.Int("problems", len(c.Problems)), zap.Error(p))
 	}
 }
 
--- a/io/proxy/read.go
+++ b/io/proxy/read.go
@@ -27,6 +27,9 @@
 	// its configuration yet. After all nodes were lost, their callers return spread over that time.
 	minRetryAfterStarting = 300 * time.Millisecond
 	maxRetryAfterStarting = 1500 * time.Millisecond
+	// retryAfterUndecided is the Retry-After while a part of the configuration cannot be read. The operator has to write it
+	// again.
+	retryAfterUndecided = 2 * time.Second
 )
 
 // read reads the request and matches it to a route. If it returns false, it has sent an
@@ -70,14 +73,20 @@
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	if q.route = v.Match(host, q.path()); q.route == nil {
-		return q.reject("no such route", http.StatusNotFound)
+	allowed := false
+	if q.route = v.Match(host, q.path()); q.route != nil {
+		q.org, allowed = v.Organisation(q.route, q.meta.Key)
 	}
-	var allowed bool
-	if q.org, allowed = v.Organisation(q.route, q.meta.Key); !allowed {
+	switch {
+	case v.Undecided(q.route, q.org, q.meta.Key):
+		q.server.Log.Warn("refused", zap.String("request", q.meta.ID), zap.String("target", q.loggedTarget()), zap.Int64("version", v.Config.Version), zap.String("reason", "its part of the configuration cannot be read"))
+		refuse(q.out, retryAfterUndecided)
+		return false
+	case q.route == nil:
+		return q.reject("no such route", http.StatusNotFound)
+	case !allowed:
 		return q.reject("unknown key", http.StatusUnauthorized)
-	}
-	if q.meta.ID == "" {
+	case q.meta.ID == "":
 		return q.reject("no request id", http.StatusBadRequest)
 	}
 	q.service, q.version = q.route.Pick(q.meta.ID), v.Config.Version
