Wait for the requests of a silent node as long as they may last

Cause: 3 s after a process was first seen, a node that answers no inquiry counted as gone. Trace: six results_may_be_read with the silent node, the last 3.05 s after the process was seen, then batches; awake, the node knew of a reader for 8.3 s more. Ruled out: no inquiry, and a wrong answer.

Change: such an inquiry counts once the longest time limit of a route with stages has passed (3 s at least, 30 s at most).

--- a/core/placement/inquiry.go
+++ b/core/placement/inquiry.go
@@ -20,8 +20,8 @@
 const (
 	// inquiryInterval is the minimum time between two inquiries about a process.
 	inquiryInterval = 250 * time.Millisecond
-	// silentPatience is how long after a process was first seen an inquiry counts for nothing that not all nodes answer: one
-	// that is silent so long is mostly gone, and its requests with it.
+	// silentPatience is the shortest time after a process was first seen at which an inquiry counts that not all nodes
+	// answer, see readLimit.
 	silentPatience = 3 * time.Second
 )
 
@@ -74,7 +74,7 @@
 type proof struct {
 	seenAt    time.Time // when it was first looked at
 	proven    bool      // results of earlier processes are not read
-	expired   bool      // some node was silent for silentPatience; all others read nothing
+	expired   bool      // some node was silent for readLimit; all others read nothing
 	inquiring bool      // an Inquiry is in flight
 	inquireAt time.Time // earliest time of the next one
 }
@@ -183,7 +183,7 @@
 		if i >= len(read) || read[i] > 0 {
 			continue
 		}
-		x.expired = silent && now.Sub(x.seenAt) >= silentPatience
+		x.expired = silent && now.Sub(x.seenAt) >= h.readLimit()
 		if !silent {
 			x.proven = true
 			h.work.Proven = append(h.work.Proven, p)
@@ -193,6 +193,28 @@
 	h.dispatch()
 }
 
+// readLimit returns how long after its end results of a process may be read by requests of a node that does not answer: the
+// longest time limit of a request that has stages. A node that is silent may be frozen, or cut off from this one only; its
+// requests then go on at their model servers, and it delivers their responses.
+func (h *Scheduler) readLimit() time.Duration {
+	limit := silentPatience
+	c := h.View().Config
+	if c == nil {
+		return limit
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		switch {
+		case len(r.Stages) == 0:
+		case r.Timeout <= 0:
+			return ReadTime
+		default:
+			limit = max(limit, min(r.Timeout, ReadTime))
+		}
+	}
+	return limit
+}
+
 // OnProven records processes of which another coordinator has found that results of earlier ones are not read any more.
 func (h *Scheduler) OnProven(l []Maker) {
 	h.init()
--- a/core/placement/inquiry_test.go
+++ b/core/placement/inquiry_test.go
@@ -39,15 +39,18 @@
 		read   time.Duration
 		silent bool
 		lasts  time.Duration // as long as read and silent hold
+		limit  time.Duration // longest time limit of a route with stages
 		want   time.Duration // of the first batch
 	}{
-		{"nothing is read", 0, false, 0, 0},
-		{"results are read", time.Second, false, time.Second, time.Second},
-		{"a node is silent for a while", 0, true, time.Second, time.Second},
-		{"a node stays silent", 0, true, time.Minute, silentPatience},
-		{"a node stays silent, and results are read", time.Second, true, 4 * time.Second, 4 * time.Second},
+		{"nothing is read", 0, false, 0, 8 * time.Second, 0},
+		{"results are read", time.Second, false, time.Second, 8 * time.Second, time.Second},
+		{"a node is silent for a while", 0, true, time.Second, 8 * time.Second, time.Second},
+		{"a node stays silent", 0, true, time.Minute, time.Second, silentPatience},
+		{"a node stays silent, and its requests may be long", 0, true, time.Minute, 8 * time.Second, 8 * time.Second},
+		{"a node stays silent, and results are read", time.Second, true, 4 * time.Second, time.Second, 4 * time.Second},
 	} {
 		b := newInquiring(t)
+		b.config.Routes = []relay.Route{{Timeout: c.limit, Stages: []relay.Stage{{Service: "encode"}}}, {Timeout: time.Minute}}
 		start := b.now
 		b.scheduler.Submit(Request{
 			Key: Key{ID: "1"}, Service: "model", InputKey: "k", Tokens: 1, Goal: 20 * time.Second, Remaining: 30 * time.Second,
--- a/io/edge/inquiry_test.go
+++ b/io/edge/inquiry_test.go
@@ -87,3 +87,41 @@
 		})
 	}
 }
+
+// Guards against results of other requests (review case 12): a stage server starts again and gives out handles anew, while
+// the coordinator that has granted a request does not answer the others for longer than a lost node would be waited for. The
+// request still waits at its model server. Both requests are served.
+func TestReadersOfSilentCoordinator(t *testing.T) {
+	const silent = 5 * time.Second
+	runFleet(t, func(w *testFleet) {
+		w.oneStageServer()
+		w.configureRoute(3, "draft", map[string]any{"timeout-ms": 15000, "latency-goal-ms": 9000, "stages": []any{map[string]any{"service": "encode", "after": []int{}, "size-bytes": 1000}}})
+		for _, d := range []string{"a", "b", "c"} {
+			w.servers["model-"+d].QueueTime = 6800 * time.Millisecond
+		}
+		time.Sleep(time.Second)
+		cut := func(on bool) {
+			for _, ip := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"} {
+				w.net.SetCut("10.0.0.4", ip, on)
+				w.net.SetCut(ip, "10.0.0.4", on)
+			}
+		}
+		var g sync.WaitGroup
+		g.Go(func() {
+			w.wantStream(w.stream("c1", "/draft/x", "waits", "X-Bergamotspring-Deadline-Ms", "15000", "X-Bergamotspring-Chunks", "2"), "the request that waits")
+		})
+		time.Sleep(500 * time.Millisecond)
+		w.register(w.startAnew(w.servers["encode-b"], "encode-b"), "encode", "b", "ready", 0)
+		cut(true)
+		time.Sleep(100 * time.Millisecond)
+		g.Go(func() {
+			w.wantStream(w.stream("a1", "/draft/x", "next", "X-Bergamotspring-Deadline-Ms", "15000", "X-Bergamotspring-Chunks", "8"), "the next request")
+		})
+		time.Sleep(silent)
+		cut(false)
+		g.Wait()
+		if l := w.results.ForeignInputs; len(l) > 0 {
+			t.Errorf("inputs of other requests: %v", l)
+		}
+	})
+}
