Count servers that go dark and start again as crashed

Cause: a probe that nothing answers was neither a crash nor remembered. Ruled out by the log: that the failures were not noticed (send_failed), and that the crashes were counted and cleared (no server_crashed). server_probed now says what a probe found.

Change: such a server is remembered for 15 s, and the entry of another process in its place tells that it crashed; one that goes on as the same process was cut off. The crash counts at the time of the probe, at all nodes, so reports carry an age: PlacementProtocol 8.

--- a/core/suspect/counter.go
+++ b/core/suspect/counter.go
@@ -70,12 +70,20 @@
 // ObserveCrash records that requests were on a server when it crashed. A request whose
 // response had begun is to be passed without segments.
 func (c *Counter) ObserveCrash(server string, requests []Request) {
+	c.ObserveCrashAt(server, c.now(), requests)
+}
+
+// ObserveCrashAt is ObserveCrash for a crash that became known later than it happened.
+func (c *Counter) ObserveCrashAt(server string, at time.Time, requests []Request) {
 	c.mu.Lock()
 	if c.isExcused(server) {
 		c.mu.Unlock()
 		return
 	}
-	if c.addRequests(c.crashOf(server), requests) {
+	if now := c.now(); at.After(now) {
+		at = now
+	}
+	if c.addRequests(c.crashOf(server, at), requests) {
 		c.revision.Learned++
 	}
 	c.evict()
--- a/core/suspect/crashes.go
+++ b/core/suspect/crashes.go
@@ -55,16 +55,20 @@
 	return added
 }
 
-// crashOf returns the crash of a server that is being reported. The lock is held.
-func (c *Counter) crashOf(server string) *crash {
-	if x := c.find(server, c.now()); x != nil {
+// crashOf returns the crash of a server that is being reported, and happened at a time. The lock is held.
+func (c *Counter) crashOf(server string, at time.Time) *crash {
+	if x := c.find(server, at); x != nil {
 		return x
 	}
-	x := &crash{server: server, at: c.now(), usedAt: c.now()}
+	x := &crash{server: server, at: at, usedAt: c.now()}
 	if c.Domain != nil {
 		x.domain = c.Domain(server)
 	}
-	c.crashes = append(c.crashes, x)
+	i := len(c.crashes)
+	for i > 0 && c.crashes[i-1].at.After(at) {
+		i--
+	}
+	c.crashes = slices.Insert(c.crashes, i, x)
 	return x
 }
 
--- a/io/edge/broken.go
+++ b/io/edge/broken.go
@@ -15,20 +15,31 @@
 const (
 	// replacedWithin is how long after its start a process has its entry at all nodes.
 	replacedWithin = 5 * time.Second
-	// maxListening bounds the servers whose entries are awaited.
-	maxListening = 64
+	// silentWithin is the same, with the time that a server that answers nothing may take to start again.
+	silentWithin = 10*time.Second + replacedWithin
+	// maxAwaited bounds the servers whose entries are awaited.
+	maxAwaited = 64
 )
 
-// listening is a server that broke off requests, and accepted a connection afterwards.
-type listening struct {
+// awaited is a server that broke off requests, or did not answer them, and did not refuse a connection afterwards.
+type awaited struct {
 	process  relay.Process // that broke them off
 	address  string
+	silent   bool // it did not accept the connection either
 	since    time.Time
 	requests []suspect.Request
 }
 
+// patience returns how long the entry of the next process is awaited.
+func (x *awaited) patience() time.Duration {
+	if x.silent {
+		return silentWithin
+	}
+	return replacedWithin
+}
+
 // replacedBy reports whether s is of another process in the place of the one that broke the requests off.
-func (x *listening) replacedBy(s *relay.Server) bool {
+func (x *awaited) replacedBy(s *relay.Server) bool {
 	if s.ID == x.process.ID {
 		return s.StartedAt != 0 && s.StartedAt != x.process.StartedAt
 	}
@@ -38,9 +49,16 @@
 // brokenRequests collects the requests that servers broke off, by server, so that one probe and
 // one report do for all that a crash broke off at the same time. The zero value is ready to use.
 type brokenRequests struct {
-	mu        sync.Mutex
-	byServer  map[string][]suspect.Request // to be probed
-	listening []listening                  // oldest first
+	mu       sync.Mutex
+	byServer map[string][]suspect.Request // to be probed
+	awaited  []awaited                    // oldest first
+}
+
+// crashedServer is a server that has crashed, with the requests that it broke off.
+type crashedServer struct {
+	id       string
+	at       time.Time
+	requests []suspect.Request
 }
 
 // add adds a request, and reports whether it is the first one of the server.
@@ -65,7 +83,7 @@
 
 // keep remembers a server until its entry tells whether it has crashed. The start of its process must be
 // known for that.
-func (b *brokenRequests) keep(x listening) {
+func (b *brokenRequests) keep(x awaited) {
 	if x.process.StartedAt == 0 {
 		return
 	}
@@ -74,49 +92,56 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.listening = append(b.listening, x)
-	if len(b.listening) > maxListening {
-		b.listening = slices.Delete(b.listening, 0, 1)
+	b.awaited = append(b.awaited, x)
+	if len(b.awaited) > maxAwaited {
+		b.awaited = slices.Delete(b.awaited, 0, 1)
 	}
 }
 
-// replaced removes and returns the requests, by server, that were broken off by a process in whose place s is.
-func (b *brokenRequests) replaced(s *relay.Server, now time.Time) map[string][]suspect.Request {
+// replaced removes and returns the servers in whose place s is.
+func (b *brokenRequests) replaced(s *relay.Server, now time.Time) []crashedServer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.remove(now, func(x *listening) bool { return x.replacedBy(s) })
+	return b.remove(now, func(x *awaited) bool { return x.replacedBy(s) })
 }
 
 // crashed removes and returns the requests of a server of which a crash was found otherwise.
 func (b *brokenRequests) crashed(server string, now time.Time) []suspect.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.remove(now, func(x *listening) bool { return x.process.ID == server })[server]
+	var l []suspect.Request
+	for _, x := range b.remove(now, func(x *awaited) bool { return x.process.ID == server }) {
+		l = append(l, x.requests...)
+	}
+	return l
 }
 
-// remove removes and returns the requests, by server, of the matching servers, and forgets old ones. The lock is
-// held.
-func (b *brokenRequests) remove(now time.Time, match func(*listening) bool) map[string][]suspect.Request {
-	m := map[string][]suspect.Request{}
-	b.listening = slices.DeleteFunc(b.listening, func(x listening) bool {
-		if now.Sub(x.since) > replacedWithin {
+// remove removes and returns the matching servers, each once, and forgets old ones. The lock is held.
+func (b *brokenRequests) remove(now time.Time, match func(*awaited) bool) []crashedServer {
+	var l []crashedServer
+	b.awaited = slices.DeleteFunc(b.awaited, func(x awaited) bool {
+		if now.Sub(x.since) > x.patience() {
 			return true
 		}
 		if !match(&x) {
 			return false
 		}
-		m[x.process.ID] = append(m[x.process.ID], x.requests...)
+		if i := slices.IndexFunc(l, func(o crashedServer) bool { return o.id == x.process.ID }); i >= 0 {
+			l[i].requests = append(l[i].requests, x.requests...)
+		} else {
+			l = append(l, crashedServer{x.process.ID, x.since, x.requests})
+		}
 		return true
 	})
-	return m
+	return l
 }
 
 // clear takes what a response has cleared out of the remembered requests.
 func (b *brokenRequests) clear(r suspect.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for i := range b.listening {
-		x := &b.listening[i]
+	for i := range b.awaited {
+		x := &b.awaited[i]
 		x.requests = slices.DeleteFunc(x.requests, func(y suspect.Request) bool { return r.Fingerprint != 0 && y.Fingerprint == r.Fingerprint })
 		for j := range x.requests {
 			y := &x.requests[j]
--- a/io/edge/crashes.go
+++ b/io/edge/crashes.go
@@ -15,22 +15,25 @@
 )
 
 // onBroken checks in the background whether a server that broke off a request has crashed. A
-// refused connection means that no process listens there any more. If one listens, its entry tells later
-// whether it is another one.
+// refused connection means that no process listens there any more. If one listens, or nothing answers, the entry of
+// another process in its place tells later that it has; one that was only cut off goes on as the same process.
 func (n *Node) onBroken(r suspect.Request, t *relay.Server) {
 	p := n.cache.Process(t)
 	if !n.broken.add(t.ID, r) {
 		return // a probe is in progress
 	}
 	n.scheduler.work.Go(func() {
+		start := time.Now()
 		err := n.pool.Probe(context.Background(), t.Address)
 		l := n.broken.take(t.ID)
 		u, ok := errors.AsType[*exchange.UnsentError](err)
+		refused := ok && u.Refused
+		n.Log.Info("server_probed", zap.String("server", t.ID), zap.Int("requests", len(l)), zap.Bool("refused", refused), zap.Bool("silent", err != nil && !refused), zap.Error(err))
 		switch {
-		case ok && u.Refused:
-			n.countCrash(t.ID, append(l, n.broken.crashed(t.ID, time.Now())...))
-		case err == nil && !n.cache.Withdrawn(p):
-			n.broken.keep(listening{process: p, address: t.Address, since: time.Now(), requests: l})
+		case refused:
+			n.countCrash(t.ID, time.Now(), append(l, n.broken.crashed(t.ID, time.Now())...))
+		case !n.cache.Withdrawn(p):
+			n.broken.keep(awaited{process: p, address: t.Address, silent: err != nil, since: start, requests: l})
 			now := n.cache.Process(&relay.Server{ID: t.ID})
 			n.onServerEntry(&relay.Server{ID: t.ID, Address: t.Address, StartedAt: now.StartedAt}) // it may have come already
 		}
@@ -38,19 +41,19 @@
 }
 
 // countCrash counts the crash of a server that broke off requests, and reports it.
-func (n *Node) countCrash(server string, l []suspect.Request) {
+func (n *Node) countCrash(server string, at time.Time, l []suspect.Request) {
 	for _, r := range l {
 		k := suspect.Culprit{Segments: r.Segments}
 		n.Log.Warn("server_crashed", zap.String("server", server), zap.Uint64("fingerprint", r.Fingerprint), zap.Strings("segments", k.SegmentNames()))
 	}
-	n.crashes.ObserveCrash(server, l)
-	n.sendCrashReport(server, l)
+	n.crashes.ObserveCrashAt(server, at, l)
+	n.sendCrashReport(server, at, l)
 }
 
 // onServerEntry counts the crash of a server whose place another process has taken.
 func (n *Node) onServerEntry(s *relay.Server) {
-	for id, l := range n.broken.replaced(s, time.Now()) {
-		n.countCrash(id, l)
+	for _, x := range n.broken.replaced(s, time.Now()) {
+		n.countCrash(x.id, x.at, x.requests)
 	}
 }
 
@@ -58,7 +61,7 @@
 func (n *Node) onSuccess(r suspect.Request) {
 	n.broken.clear(r)
 	if n.crashes.ObserveSuccess(r) {
-		n.sendCrashReport("", []suspect.Request{r})
+		n.sendCrashReport("", time.Time{}, []suspect.Request{r})
 	}
 }
 
@@ -67,17 +70,17 @@
 	r.Fingerprint = 0
 	n.broken.clear(r)
 	if n.crashes.ObserveResponse(r) {
-		n.sendCrashReport("", []suspect.Request{r})
+		n.sendCrashReport("", time.Time{}, []suspect.Request{r})
 	}
 }
 
-// onCrashReport merges the report of another node: a crash of server, or that the requests crash
+// onCrashReport merges the report of another node: a crash of server at a time, or that the requests crash
 // none if server is empty.
-func (n *Node) onCrashReport(server string, requests []suspect.Request) {
+func (n *Node) onCrashReport(server string, at time.Time, requests []suspect.Request) {
 	if server != "" {
-		n.crashes.ObserveCrash(server, requests)
+		n.crashes.ObserveCrashAt(server, at, requests)
 		if l := n.broken.crashed(server, time.Now()); len(l) > 0 {
-			n.countCrash(server, l)
+			n.countCrash(server, at, l)
 		}
 		return
 	}
@@ -88,7 +91,7 @@
 
 // sendCrashReport reports a crash to all other nodes, or that requests crash none if server is
 // empty.
-func (n *Node) sendCrashReport(server string, requests []suspect.Request) {
+func (n *Node) sendCrashReport(server string, at time.Time, requests []suspect.Request) {
 	m := n.mesh.Load()
 	if m == nil {
 		return
@@ -97,7 +100,7 @@
 		if x.Peer == n.self.Peer {
 			continue
 		}
-		if err := m.SendCrash(x.Peer, server, requests); err != nil {
+		if err := m.SendCrash(x.Peer, server, at, requests); err != nil {
 			// Not sent again: the peer learns of culprits, and that they were cleared, as
 			// nodes exchange them; see culprits.go.
 			n.Log.Info("crash_not_told", zap.String("peer", x.Peer), zap.Error(err))
--- a/io/peer/placement.go
+++ b/io/peer/placement.go
@@ -17,7 +17,7 @@
 
 // PlacementProtocol is the version of the messages of PlacementHandlers. Nodes state it when they
 // register, and exchange these messages only with nodes of the same version.
-const PlacementProtocol = 7
+const PlacementProtocol = 8
 
 // PlacementHandlers handles the messages of other nodes on the users' platform. All fields
 // must be set.
@@ -32,7 +32,7 @@
 	Segments func([]placement.SegmentAnnouncement)
 	// Crash handles that requests were on a server when it crashed or, without a server,
 	// that they crash none. Fingerprint 0 means only the segments.
-	Crash func(server string, requests []suspect.Request)
+	Crash func(server string, at time.Time, requests []suspect.Request)
 	// Exhausted handles that a server crashed for want of memory.
 	Exhausted func(server string)
 	// Culprits merges what another node knows to crash servers, and returns what this one
@@ -73,7 +73,8 @@
 			h.Exhausted(b.Server)
 			return
 		}
-		h.Crash(b.Server, each(b.Requests, suspectOf))
+		now := time.Now()
+		h.Crash(b.Server, now.Add(-duration(max(0, b.Age))), each(b.Requests, suspectOf))
 	})
 	handle(m, TypeCrashCulprits, true, func(r *Request, b wire.CrashCulprits) {
 		known, cleared := h.Culprits(r.From.Node, noticesOf(b, time.Now()))
@@ -156,9 +157,9 @@
 }
 
 // SendCrash notifies the node at an address of the requests that were on a server when it
-// crashed, or without a server of requests that crash none; it may be lost without an error.
-func (m *Mesh) SendCrash(to, server string, requests []suspect.Request) error {
-	return m.Send(to, TypeCrash, &wire.Crash{Server: server, Requests: each(requests, wireSuspect)})
+// crashed, at a time, or without a server of requests that crash none; it may be lost without an error.
+func (m *Mesh) SendCrash(to, server string, at time.Time, requests []suspect.Request) error {
+	return m.Send(to, TypeCrash, &wire.Crash{Server: server, Age: wireAge(at, time.Now()), Requests: each(requests, wireSuspect)})
 }
 
 // SendExhausted notifies the node at an address that a server crashed for want of memory; it may be lost without an
--- a/schema/wire/wire.gen.go
+++ b/schema/wire/wire.gen.go
@@ -149,6 +149,9 @@
 // Reports the requests that were on a server when it crashed, or, without a
 // server, requests that crash none.
 type Crash struct {
+	// Since the crash, in microseconds; 0: not stated.
+	Age int `msgpack:"age"`
+
 	// The server crashed for want of memory; its requests are not to blame.
 	Memory *bool `msgpack:"memory,omitempty"`
 
