--- a/io/exchange/exchange.go
+++ b/io/exchange/exchange.go
@@ -387,7 +387,7 @@
 func (c *conn) skipBody(a *http.Response) error {
 	c.limit.remaining = maxForeignBody
 	defer func() { c.limit.remaining = unlimited }()
-	_, err := io.Copy(io.Discard, a.Body)
+	_, err := io.Copy(io.Discard, &httpbody.Reader{Source: a.Body})
 	return err
 }
 
