--- a/io/httpbody/httpbody.go
+++ b/io/httpbody/httpbody.go
@@ -29,25 +29,27 @@
 type Reader struct {
 	// Source returns the body. Its first error other than nil is the end of the body, and io.EOF means that it is complete.
 	Source io.Reader
-	// OnEnd, if set, is called once with the end of the body, before a read returns it.
+	// OnEnd, if set, is called once with the end of the body, before a read returns it. What Source reads from is in use until
+	// then.
 	OnEnd func(end error)
 
+	last error // of Source; it is the end once the bytes that came with it were returned
 	end  error
 	read int64
 }
 
 // Read implements io.Reader.
 func (r *Reader) Read(p []byte) (int, error) {
-	if r.end != nil {
-		return 0, r.end
-	}
-	n, err := r.Source.Read(p)
-	r.read += int64(n)
-	if err != nil {
-		r.finish(err)
+	if r.last == nil && r.end == nil {
+		var n int
+		n, r.last = r.Source.Read(p)
+		r.read += int64(n)
+		if n > 0 {
+			return n, nil
+		}
 	}
-	if n > 0 {
-		return n, nil
+	if r.end == nil && r.last != nil {
+		r.finish(r.last)
 	}
 	return 0, r.end
 }
@@ -59,9 +61,13 @@
 	}
 }
 
-// Abandon ends a body that is not read on, with ErrClosed unless it has ended.
+// Abandon ends a body that is not read on, with ErrClosed unless all of it was read.
 func (r *Reader) Abandon() {
-	if r.end == nil {
+	switch {
+	case r.end != nil:
+	case r.last != nil:
+		r.finish(r.last)
+	default:
 		r.finish(ErrClosed)
 	}
 }
--- a/io/httpbody/httpbody_test.go
+++ b/io/httpbody/httpbody_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// The end is told once the last bytes were returned, so that what they are read from is not used for something else before.
+func TestEndAfterLastBytes(t *testing.T) {
+	ended := false
+	r := &Reader{Source: &forgetful{rest: []byte("body"), err: io.EOF}, OnEnd: func(error) { ended = true }}
+	if n, err := r.Read(make([]byte, 4)); n != 4 || err != nil || ended || r.Complete() {
+		t.Errorf("got %d bytes, %v, ended: %v", n, err, ended)
+	}
+	if r.Abandon(); !ended || !r.Complete() {
+		t.Errorf("a body whose bytes were all read ended: %v, complete: %v", ended, r.Complete())
+	}
+}
+
 // A body that is not read to its end is not complete.
 func TestAbandon(t *testing.T) {
 	var ends []error
