Wait for no timer that is due, on which Go's race detector crashes

Cause: with Go 1.26.8 and -race, reading the channel of a timer that is due corrupts the detector's state in a bubble.

Change: sleepUntil uses no timer for a pause of zero, and wait.Every none that may be due after a call that took longer than its interval. Both do what they did.

--- a/io/edge/tablewatch.go
+++ b/io/edge/tablewatch.go
@@ -237,6 +237,9 @@
 
 // sleepUntil waits for a time, or until the context ends or a channel is closed.
 func sleepUntil(ctx context.Context, d time.Duration, c <-chan struct{}) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/io/wait/wait.go
+++ b/io/wait/wait.go
@@ -21,16 +21,17 @@
 	}
 }
 
-// Every calls f at an interval of d until ctx ends.
+// Every calls f at an interval of d until ctx ends. Like a ticker, it calls f once for all the times that passed during a call.
+//
+// It uses no ticker, whose channel may hold a tick when it is read: in a bubble of testing/synctest, the race detector of Go
+// 1.26.8 crashes on that.
 func Every(ctx context.Context, d time.Duration, f func()) {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f()
+	next := time.Now().Add(d)
+	for Sleep(ctx, time.Until(next)) {
+		f()
+		next = next.Add(d)
+		if late := time.Since(next); late > 0 {
+			next = next.Add(late.Truncate(d)) // the last one that passed
 		}
 	}
 }
--- a/io/wait/wait_test.go
+++ b/io/wait/wait_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,3 +38,35 @@
 		}
 	})
 }
+
+// After a call that took longer than the interval, one call makes up for all that were missed, and the next ones come at their
+// times. No timer is due when it is waited for: with the race detector, calls that take longer crash it otherwise.
+func TestEveryAfterLongCalls(t *testing.T) {
+	const d = 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 8*d+d/2)
+		defer cancel()
+		start := time.Now()
+		var got []time.Duration
+		Every(ctx, d, func() {
+			got = append(got, time.Since(start)/(d/10))
+			if len(got) == 2 {
+				time.Sleep(2*d + d/2)
+			}
+		})
+		if want := []time.Duration{10, 20, 45, 50, 60, 70, 80}; !slices.Equal(got, want) {
+			t.Errorf("got calls at %v tenths of the interval, want %v", got, want)
+		}
+	})
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			var g sync.WaitGroup
+			for range 40 {
+				g.Go(func() { Every(ctx, time.Millisecond, func() { time.Sleep(3 * time.Millisecond) }) })
+			}
+			g.Wait()
+		})
+	}
+}
