--- a/io/edge/configuration_test.go
+++ b/io/edge/configuration_test.go
@@ -150,7 +150,7 @@
 	}
 }
 
-// Keys of a tenant that cannot be read are neither refused for good nor taken for another's.
+// A request with a key of a tenant that cannot be read gets 503: it is neither unauthorised nor attributed to another tenant.
 func TestUnreadableTenant(t *testing.T) {
 	runFleet(t, func(w *testFleet) {
 		w.configure(2, func(c map[string]any) {
